Meta: Lay out the workspace and fix the narrow headers

Cause: the parts of the design are to be built side by side, so what they share has to stand first: errors as results, time, locks with a stated order, the messages between daemons and the interface of each decision library. Ruled out: FlatBuffers' object API as message types, because its generated comparison compares pointers of nested tables in the packaged version; plain value types with their own comparison are used and the codec converts.

--- /dev/null
+++ b/Libraries/LibCalls/call_client.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <LibCore/generator.h>
+#include <LibCore/time.h>
+#include <LibRouting/retry_budget.h>
+#include <LibRouting/target_chooser.h>
+#include <LibWire/message.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace merlinpier {
+
+// When the first daemon tries a call again. Always is a baseline to measure against.
+enum class retry_policy { ProvenOrIdempotent, Always };
+
+struct call_client_settings {
+    retry_policy retries { retry_policy::ProvenOrIdempotent };
+    std::uint32_t maximumAttempts { 4 };
+    // A call sent to a link that does not get ready in this time is taken back and sent elsewhere.
+    milliseconds linkTimeout { 500 };
+    // How long a lost link's daemon is asked before the outcome counts as unknown.
+    milliseconds queryTimeout { 900 };
+    std::uint32_t hopLimit { 8 };
+};
+
+// A request of a caller, already matched to its service and entry point.
+struct caller_request {
+    // Unique; derived from service and key when the caller gave an Idempotency-Key.
+    std::string id;
+    std::string service;
+    // The calling service, or empty for a caller outside the mesh.
+    std::string caller;
+    std::string method;
+    std::string path;
+    std::vector<header_field> headers;
+    std::string body;
+    std::string idempotencyKey;
+    // What is left of the deadline, when the caller is inside a call; otherwise the entry point's deadline applies.
+    std::optional<milliseconds> remaining;
+    std::uint32_t hops { 0 };
+
+    bool operator==(caller_request const&) const = default;
+};
+
+// The whole answer of the target.
+struct call_answered {
+    call_answer answer;
+    std::string target;
+    std::uint32_t attempts { 0 };
+    bool operator==(call_answered const&) const = default;
+};
+// Proven not run.
+struct call_not_run {
+    refusal_reason reason { refusal_reason::Overloaded };
+    std::uint32_t retryAfterMs { 0 };
+    std::string message;
+    bool operator==(call_not_run const&) const = default;
+};
+// It may have run.
+struct call_outcome_unknown {
+    std::string message;
+    bool operator==(call_outcome_unknown const&) const = default;
+};
+using final_outcome = std::variant<call_answered, call_not_run, call_outcome_unknown>;
+
+// Asks the owner to send the call to the daemon as soon as its link is ready, filling in the link's generation and
+// reporting by didSend(); until then the call can be taken back.
+struct dispatch_call {
+    std::string address;
+    call_request call;
+    bool operator==(dispatch_call const&) const = default;
+};
+// Asks the owner to send a message about a call on the link to the daemon, if it is ready.
+struct send_to_target {
+    std::string address;
+    std::variant<call_cancel, call_acknowledge, call_query> content;
+    bool operator==(send_to_target const&) const = default;
+};
+// Asks the owner to drop a dispatched call that has not been sent yet.
+struct take_back_call {
+    std::string address;
+    std::string id;
+    bool operator==(take_back_call const&) const = default;
+};
+// The call's final answer, given once.
+struct complete_call {
+    std::string id;
+    final_outcome outcome;
+    bool operator==(complete_call const&) const = default;
+};
+using client_action = std::variant<dispatch_call, send_to_target, take_back_call, complete_call>;
+
+struct call_client_totals {
+    std::uint64_t calls { 0 };
+    std::uint64_t answered { 0 };
+    std::uint64_t notRun { 0 };
+    std::uint64_t unknown { 0 };
+    std::uint64_t retries { 0 };
+    std::uint64_t queries { 0 };
+
+    bool operator==(call_client_totals const&) const = default;
+};
+
+// The first daemon's side of calls: chooses targets, sends, retries what is proven not run or idempotent within the
+// budget and the deadline, asks about calls whose link was lost, and gives every call one final outcome as soon as it
+// is known. Holds no I/O, clock, lock or random source of its own.
+class call_client {
+public:
+    call_client(call_client_settings, chooser_settings);
+
+    void setSnapshot(std::shared_ptr<routing_snapshot const>, time_point now);
+    std::vector<client_action> start(caller_request, time_point now, generator&);
+    // The caller has gone.
+    std::vector<client_action> cancel(std::string const& id, time_point now);
+    // The frame of a dispatched call was handed to a link of this generation and instance.
+    void didSend(std::string const& id, std::string const& address, std::uint64_t generation, time_point now);
+    // A call_answer, call_refused, call_lost or call_query_answer arrived from the daemon.
+    std::vector<client_action> didReceive(std::string const& address, message const&, time_point now, generator&);
+    // The link to a daemon is ready with this generation; calls sent on lower ones are asked about.
+    std::vector<client_action> didBecomeReady(
+        std::string const& address, std::uint64_t instance, std::uint64_t generation, time_point now, generator&);
+    // The daemon cannot be reached: what was sent there has an unknown outcome, what was not is sent elsewhere.
+    std::vector<client_action> didBecomeUnreachable(std::string const& address, time_point now, generator&);
+    std::vector<client_action> tick(time_point now, generator&);
+
+    // Calls sent to the daemon and not yet ended, for the link's silence detection.
+    std::size_t outstanding(std::string const& address) const;
+    std::size_t unsettled() const;
+    call_client_totals const& totals() const;
+    target_chooser const& chooser() const;
+
+private:
+    std::shared_ptr<struct call_client_internals> m_internals;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/call_server.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <LibCalls/local_targets.h>
+#include <LibCore/time.h>
+#include <LibWire/call_messages.h>
+#include <LibWire/message.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace merlinpier {
+
+// Whether the target's daemon limits what its targets get. Off is a baseline to measure against.
+enum class admission_policy { SlotsAndQueue, Unlimited };
+
+struct call_server_settings {
+    std::uint64_t instance { 0 };
+    admission_policy admission { admission_policy::SlotsAndQueue };
+    // Finished answers are kept until acknowledged, at most this long and this many bytes in all.
+    milliseconds answerRetention { 30000 };
+    std::size_t maximumAnswerBytes { 16 * 1024 * 1024 };
+    // A call is refused on arrival when its expected wait exceeds what is left of its deadline, less this.
+    milliseconds deadlineMargin { 5 };
+    std::uint32_t hopLimit { 8 };
+};
+
+// The first daemon that a call came from: its instance names it for good, the connection is where to answer now.
+struct call_origin {
+    std::uint64_t instance { 0 };
+    std::uint64_t generation { 0 };
+
+    bool operator==(call_origin const&) const = default;
+};
+
+// Asks the owner to send the call to its target over HTTP and to report by didFinish(), didFail() or didLose().
+struct run_call {
+    call_request call;
+    std::string targetAddress;
+    milliseconds timeout { 0 };
+    bool operator==(run_call const&) const = default;
+};
+// Asks the owner to close the exchange with the target; the slot is held until the target's end is reported.
+struct abort_call {
+    std::string id;
+    bool operator==(abort_call const&) const = default;
+};
+// Asks the owner to send a message to the daemon that the call came from, on its newest connection.
+struct reply_to_origin {
+    std::uint64_t instance { 0 };
+    message content;
+    bool operator==(reply_to_origin const&) const = default;
+};
+using server_action = std::variant<run_call, abort_call, reply_to_origin>;
+
+// Figures of one target for the state dump and the load carried by answers.
+struct target_load {
+    std::uint32_t slots { 0 };
+    std::uint32_t running { 0 };
+    std::uint32_t queued { 0 };
+    std::uint32_t loadPermille { 0 };
+
+    bool operator==(target_load const&) const = default;
+};
+
+// The target's daemon's side of calls: admits each call at most once by its ledger, within the target's slots and a
+// short queue that refuses at once what cannot meet its deadline; keeps answers until acknowledged; tells with
+// authority what became of a call. Holds no I/O, clock, lock or random source.
+class call_server {
+public:
+    explicit call_server(call_server_settings);
+
+    // A daemon said hello: frames of lower generations from it are refused from now on.
+    void raiseFence(call_origin const&);
+    std::vector<server_action> didReceiveCall(
+        call_origin const&, call_request const&, local_targets const&, configuration_set const&, time_point now);
+    std::vector<server_action> didReceiveCancel(call_origin const&, call_cancel const&, time_point now);
+    void didReceiveAcknowledge(call_origin const&, call_acknowledge const&);
+    std::vector<server_action> didReceiveQuery(call_origin const&, call_query const&, time_point now);
+
+    // The target answered whole.
+    std::vector<server_action> didFinish(std::string const& id, call_answer, time_point now);
+    // The request certainly did not reach the target.
+    std::vector<server_action> didFail(std::string const& id, time_point now);
+    // The request may have run; the target was lost before its answer was whole.
+    std::vector<server_action> didLose(std::string const& id, time_point now);
+    // Drops queued calls whose deadline has passed and entries whose retention is over.
+    std::vector<server_action> tick(time_point now);
+
+    std::size_t running() const;
+    std::size_t queued() const;
+    // Calls that run, wait, or whose answers are still to be fetched: a planned stop waits for these to reach 0.
+    std::size_t unsettled() const;
+    std::map<std::string, target_load> loads() const;
+
+private:
+    std::shared_ptr<struct call_server_internals> m_internals;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/local_targets.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibCore/result.h>
+#include <LibCore/time.h>
+#include <LibRouting/routing_snapshot.h>
+#include <LibWire/membership_messages.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace merlinpier {
+
+// What a target says about itself when it announces. The announcement is a lease: it has to be renewed.
+struct target_announcement {
+    std::string id;
+    std::string service;
+    std::string licence;
+    // HTTP address of the target on this VM, "127.0.0.1:9000".
+    std::string address;
+    // Whether it takes calls yet, and whether it wants no more.
+    target_state state { target_state::Ready };
+
+    bool operator==(target_announcement const&) const = default;
+};
+
+// The targets of this VM, which announce themselves to its daemon. Holds no I/O, clock or lock.
+class local_targets {
+public:
+    // How long an announcement holds without being renewed.
+    explicit local_targets(milliseconds lease = milliseconds(3000));
+
+    // Takes in an announcement or a renewal. BadInput for missing fields or an address that is no IP number; Conflict
+    // if another target of this VM uses the licence. The highest claim known elsewhere comes from the membership.
+    result<empty> announce(target_announcement const&, std::uint64_t highestKnownClaim, time_point now);
+    // The target gets no new calls from now on.
+    result<empty> drain(std::string const& id, time_point now);
+    result<empty> leave(std::string const& id, time_point now);
+    void drainAll(time_point now);
+    // Ends announcements whose lease has run out.
+    void tick(time_point now);
+    // Somebody else holds a higher claim on the licence: the copy here gets no calls until it announces again.
+    void didLoseClaim(std::string const& licence, std::uint64_t claim);
+
+    target_announcement const* find(std::string const& id) const;
+    // The records to publish, with the slots of the service's configuration; sorted by id.
+    std::vector<target_record> records(configuration_set const&) const;
+
+private:
+    struct entry;
+    milliseconds m_lease;
+    std::map<std::string, std::shared_ptr<entry>> m_entries;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibConfiguration/configuration_set.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <LibConfiguration/service_configuration.h>
+#include <LibCore/result.h>
+#include <LibWire/configuration_messages.h>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace merlinpier {
+
+// Numbers the accepted versions: 1, 2, 3... 0 is the empty set before the first submission.
+using version_number = std::uint64_t;
+
+// Names one fragment of a version.
+struct manifest_entry {
+    std::string service;
+    std::uint64_t revision { 0 };
+    std::string digest;
+
+    bool operator==(manifest_entry const&) const = default;
+};
+
+// The list of a version's fragments, sorted by service.
+struct manifest {
+    version_number version { 0 };
+    std::vector<manifest_entry> entries;
+
+    bool operator==(manifest const&) const = default;
+};
+
+std::string serializeManifest(manifest const&);
+result<manifest> parseManifest(std::string_view content);
+
+// One whole, valid, immutable version of the configuration.
+class configuration_set {
+public:
+    // Checks every fragment against its digest and the set as a whole: each dependency and named caller exists, licence
+    // identifiers are unique, limits are sane. BadInput names the service and the rule; Corrupt a digest that differs.
+    static result<std::shared_ptr<configuration_set const>> tryCreate(
+        manifest, std::vector<wire_fragment> const& fragments);
+    // Version 0, without services.
+    static std::shared_ptr<configuration_set const> createEmpty();
+
+    version_number version() const { return m_manifest.version; }
+    merlinpier::manifest const& contents() const { return m_manifest; }
+    // Digest of the serialized manifest.
+    std::string const& digest() const { return m_digest; }
+    std::map<std::string, service_configuration> const& services() const { return m_services; }
+    service_configuration const* service(std::string const& name) const;
+    // The fragments of this version as sent to others, less those whose digests are named.
+    std::vector<wire_fragment> fragmentsWithout(std::vector<std::string> const& knownDigests) const;
+    std::vector<std::string> digests() const;
+
+private:
+    configuration_set() = default;
+    merlinpier::manifest m_manifest;
+    std::string m_digest;
+    std::map<std::string, service_configuration> m_services;
+    std::map<std::string, std::string> m_contents;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCore/log.cpp
@@ -0,0 +1,72 @@
+#include <LibCore/log.h>
+
+#include <absl/strings/escaping.h>
+#include <glog/logging.h>
+
+namespace merlinpier {
+
+namespace {
+
+std::string quoted(std::string_view value)
+{
+    std::string const escaped = absl::CEscape(absl::string_view(value.data(), value.size()));
+    bool const isPlain = !escaped.empty() && escaped.find_first_of(" =\\") == std::string::npos;
+    return isPlain ? escaped : "\"" + escaped + "\"";
+}
+
+std::string line(std::string_view event, std::initializer_list<log_field> fields)
+{
+    std::string text = "event=" + std::string(event);
+    for (auto const& field : fields)
+        text += " " + field.key + "=" + quoted(field.value);
+    return text;
+}
+
+} // namespace
+
+log_field::log_field(std::string_view key, std::string_view value)
+    : key(key)
+    , value(value)
+{
+}
+
+log_field::log_field(std::string_view key, char const* value)
+    : log_field(key, std::string_view(value))
+{
+}
+
+log_field::log_field(std::string_view key, std::string const& value)
+    : log_field(key, std::string_view(value))
+{
+}
+
+log_field::log_field(std::string_view key, std::int64_t value)
+    : log_field(key, std::string_view(std::to_string(value)))
+{
+}
+
+log_field::log_field(std::string_view key, std::uint64_t value)
+    : log_field(key, std::string_view(std::to_string(value)))
+{
+}
+
+log_field::log_field(std::string_view key, int value)
+    : log_field(key, std::string_view(std::to_string(value)))
+{
+}
+
+void startLogging(char const* program, int minimumLevel)
+{
+    FLAGS_logtostderr = true;
+    FLAGS_minloglevel = minimumLevel;
+    google::InitGoogleLogging(program);
+}
+
+void logInfo(std::string_view event, std::initializer_list<log_field> fields) { LOG(INFO) << line(event, fields); }
+
+void logWarning(std::string_view event, std::initializer_list<log_field> fields)
+{
+    LOG(WARNING) << line(event, fields);
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCore/timer_service.cpp
@@ -0,0 +1,90 @@
+#include <LibCore/timer_service.h>
+
+#include <absl/time/time.h>
+#include <algorithm>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr absl::Duration idleWait = absl::Seconds(1);
+
+} // namespace
+
+timer_service::timer_service()
+    : m_thread([this] { run(); })
+{
+}
+
+timer_service::~timer_service()
+{
+    {
+        mutex_lock lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_changed.notifyAll();
+    m_thread.join();
+}
+
+timer_id timer_service::subscribeOnce(duration delay, std::function<void()> callback)
+{
+    return add(delay, duration::zero(), std::move(callback));
+}
+
+timer_id timer_service::subscribe(duration period, std::function<void()> callback)
+{
+    return add(period, period, std::move(callback));
+}
+
+timer_id timer_service::add(duration delay, duration period, std::function<void()> callback)
+{
+    timer_id id = 0;
+    {
+        mutex_lock lock(m_mutex);
+        id = m_nextId++;
+        m_queue.emplace(currentTime() + delay, subscription { id, period, std::move(callback) });
+    }
+    m_changed.notifyAll();
+    return id;
+}
+
+void timer_service::cancel(timer_id id)
+{
+    mutex_lock lock(m_mutex);
+    if (m_running == id)
+        m_running = 0;
+    auto const found
+        = std::find_if(m_queue.begin(), m_queue.end(), [id](auto const& entry) { return entry.second.id == id; });
+    if (found != m_queue.end())
+        m_queue.erase(found);
+}
+
+void timer_service::run()
+{
+    m_mutex.lock();
+    while (!m_isStopping) {
+        if (m_queue.empty()) {
+            m_changed.waitFor(m_mutex, idleWait);
+            continue;
+        }
+        auto const due = m_queue.begin()->first;
+        auto const now = currentTime();
+        if (due > now) {
+            m_changed.waitFor(m_mutex, absl::FromChrono(due - now));
+            continue;
+        }
+        subscription current = std::move(m_queue.begin()->second);
+        m_queue.erase(m_queue.begin());
+        m_running = current.id;
+        m_mutex.unlock();
+        current.callback();
+        m_mutex.lock();
+        bool const wasCancelled = m_running == 0;
+        m_running = 0;
+        if (current.period > duration::zero() && !wasCancelled)
+            m_queue.emplace(currentTime() + current.period, std::move(current));
+    }
+    m_mutex.unlock();
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibHttp/http_client.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibCore/result.h>
+#include <LibCore/time.h>
+#include <LibHttp/http_message.h>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace merlinpier {
+
+// Whether a request may travel on a connection that served another before. libcurl repeats a request by itself when
+// such a connection turns out closed, so a request that is not idempotent needs a connection of its own.
+enum class connection_reuse { Allowed, Forbidden };
+
+// One request to send.
+struct http_client_request {
+    std::string method { "GET" };
+    // "http://10.0.0.1:8080/path?query"; only IP numbers.
+    std::string url;
+    std::vector<http_field> headers;
+    std::string body;
+    milliseconds timeout { 5000 };
+    milliseconds connectTimeout { 1000 };
+    connection_reuse reuse { connection_reuse::Allowed };
+};
+
+using http_exchange_id = std::uint64_t;
+
+// Receives the whole answer, or Unavailable if no byte of the request can have been read by the other side,
+// or OutcomeUnknown if the request may have been acted upon (time-out included).
+using http_callback = std::function<void(result<http_response>)>;
+
+// Sends HTTP requests by libcurl on one thread. Callbacks come from that thread and must not block.
+class http_client {
+public:
+    static std::unique_ptr<http_client> create();
+    virtual ~http_client() = default;
+    virtual http_exchange_id send(http_client_request, http_callback) = 0;
+    // Closes the connection of an exchange; its callback gets OutcomeUnknown.
+    virtual void cancel(http_exchange_id) = 0;
+};
+
+// Sends one request and waits for its answer; for command-line tools and tests.
+result<http_response> sendAndWait(http_client&, http_client_request);
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibMembership/member.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <LibCore/generator.h>
+#include <LibCore/time.h>
+#include <LibMembership/membership_table.h>
+#include <LibWire/message.h>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace merlinpier {
+
+struct membership_settings {
+    std::string vm;
+    std::string zone;
+    std::string address;
+    std::string httpAddress;
+    // Addresses of daemons to join by.
+    std::vector<std::string> seeds;
+    std::size_t relaysPerZone { 2 };
+    // A relay answers further heartbeats with a time to come back.
+    std::size_t maximumSubscribers { 128 };
+    milliseconds heartbeatPeriod { 1000 };
+    // A member of the own zone not heard of for this long is suspected, then gone after as long again.
+    milliseconds suspectTimeout { 3000 };
+    // When at least this share of a zone's members fall silent together, it is taken for a cut: nobody is set Gone.
+    double cutShare { 0.5 };
+    // How often two relays of different zones, or a member and its relay, compare digests.
+    milliseconds repairPeriod { 5000 };
+    milliseconds goneRetention { 600000 };
+};
+
+// Asks the owner to send a message to a daemon, opening a connection if there is none.
+struct send_message {
+    std::string address;
+    message content;
+    bool operator==(send_message const&) const = default;
+};
+// The table changed: routes may have to be built again.
+struct membership_changed {
+    std::vector<std::string> vms;
+    bool operator==(membership_changed const&) const = default;
+};
+// A peer knows of a configuration version above the applied one.
+struct version_heard {
+    std::string address;
+    std::uint64_t version { 0 };
+    bool operator==(version_heard const&) const = default;
+};
+using membership_action = std::variant<send_message, membership_changed, version_heard>;
+
+// One VM's part in the membership: joins by seeds, sends heartbeats to the relays of its zone, relays for those that
+// subscribe, detects silent members, repairs losses by digests, and keeps the own record above whatever it hears of
+// itself. Holds no socket, clock, lock or random source.
+class member {
+public:
+    member(membership_settings, std::uint64_t instance);
+
+    membership_table const& table() const { return m_table; }
+    member_record const& self() const { return m_self; }
+    bool isRelay() const;
+    // Addresses of the relays of the own zone that this member reports to.
+    std::vector<std::string> relays() const;
+    // Addresses that subscribe to this daemon as their relay.
+    std::vector<std::string> subscribers() const;
+    // Addresses of one relay or more of each other zone.
+    std::vector<std::string> remoteRelays() const;
+    // Whether the own zone's relays or any other daemon has been heard of lately.
+    bool hasContact(time_point now) const;
+    // Silent members of the own zone, for the state dump.
+    std::vector<std::string> suspects(time_point now) const;
+
+    std::vector<membership_action> tick(time_point now, generator&);
+    std::vector<membership_action> didReceive(
+        std::string const& fromAddress, message const&, time_point now, generator&);
+    // A connection to the address could not be opened or ended.
+    void didFailToReach(std::string const& address, time_point now);
+
+    // Changes to the own record; each raises its sequence and is pushed.
+    std::vector<membership_action> setTargets(std::vector<target_record>, time_point now);
+    std::vector<membership_action> setApplied(
+        std::uint64_t version, std::uint64_t refusedVersion, std::string refusedReason, time_point now);
+    std::vector<membership_action> setLeaving(time_point now);
+    // Further addresses to join by, such as the relay addresses kept in the platform.
+    void addSeeds(std::vector<std::string> const&);
+
+private:
+    struct peer_state;
+    membership_settings m_settings;
+    member_record m_self;
+    membership_table m_table;
+    std::map<std::string, std::shared_ptr<peer_state>> m_peers;
+    std::shared_ptr<struct member_internals> m_internals;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibNet/link_table.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <LibCore/time.h>
+#include <LibNet/transport.h>
+#include <LibWire/link_messages.h>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace merlinpier {
+
+// When a link counts as silent.
+struct link_settings {
+    // How often a link with calls outstanding is pinged.
+    milliseconds pingPeriod { 100 };
+    // Without any frame for this long while something is outstanding, a connection is silent.
+    milliseconds silenceTimeout { 300 };
+    // A connection that is not open, hello answered, within this time has failed.
+    milliseconds connectTimeout { 500 };
+};
+
+// Asks the owner to open a connection to the address and to report it by didOpen().
+struct open_connection {
+    std::string address;
+    std::uint64_t generation { 0 };
+    bool operator==(open_connection const&) const = default;
+};
+// Asks the owner to close a connection.
+struct close_connection {
+    connection_id connection { 0 };
+    bool operator==(close_connection const&) const = default;
+};
+// Asks the owner to send a ping on a connection.
+struct send_ping {
+    connection_id connection { 0 };
+    std::uint64_t number { 0 };
+    bool operator==(send_ping const&) const = default;
+};
+// Tells the owner that calls may be sent on the connection, with this generation, to this instance of the peer.
+struct link_ready {
+    std::string address;
+    connection_id connection { 0 };
+    std::uint64_t generation { 0 };
+    std::uint64_t instance { 0 };
+    bool operator==(link_ready const&) const = default;
+};
+// Tells the owner that calls sent on lower generations have to be asked about once the link is ready again.
+struct link_lost {
+    std::string address;
+    std::uint64_t generation { 0 };
+    bool operator==(link_lost const&) const = default;
+};
+// Tells the owner that the peer could not be reached: nothing can be asked there now.
+struct link_unreachable {
+    std::string address;
+    bool operator==(link_unreachable const&) const = default;
+};
+using link_action = std::variant<open_connection, close_connection, send_ping, link_ready, link_lost, link_unreachable>;
+
+// Decides about the outgoing connections of a daemon: one current link for each peer address, generations that only
+// rise, pings while something is outstanding, and a new connection beside one that went silent. Holds no socket, clock
+// or lock.
+class link_table {
+public:
+    explicit link_table(link_settings);
+
+    // Something is to be sent to the peer: opens a link unless one is open or opening.
+    std::vector<link_action> require(std::string const& address, time_point now);
+    // The owner carried out an open_connection.
+    void didOpen(std::string const& address, std::uint64_t generation, connection_id, time_point now);
+    std::vector<link_action> didReceiveHelloAnswer(connection_id, hello_answer const&, time_point now);
+    // Any other frame arrived on the connection.
+    void didReceive(connection_id, time_point now);
+    std::vector<link_action> didClose(connection_id, time_point now);
+    // How many calls wait for an answer on the link to the peer now.
+    void setOutstanding(std::string const& address, std::size_t count, time_point now);
+    // To be called every few tens of milliseconds.
+    std::vector<link_action> tick(time_point now);
+
+    // The connection to send on, if the link to the peer is ready.
+    std::optional<link_ready> current(std::string const& address) const;
+
+private:
+    struct link;
+    link_settings m_settings;
+    std::map<std::string, std::shared_ptr<link>> m_links;
+    std::map<connection_id, std::string> m_addresses;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibNet/transport.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <LibCore/result.h>
+#include <LibNet/endpoint.h>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace merlinpier {
+
+// Names one connection for the life of a transport; never used again.
+using connection_id = std::uint64_t;
+
+// Told of what happens on the connections of a transport. Calls come one at a time from the transport's thread, with
+// no lock held, and must not block.
+class transport_listener {
+public:
+    virtual ~transport_listener() = default;
+    virtual void didAccept(connection_id, endpoint const& from) = 0;
+    virtual void didConnect(connection_id) = 0;
+    // One whole frame, without its length prefix.
+    virtual void didReceiveFrame(connection_id, std::string frame) = 0;
+    // The connection is over, or could not be opened (Unavailable). Nothing more follows for it.
+    virtual void didClose(connection_id, error reason) = 0;
+};
+
+// Limits of a transport.
+struct transport_settings {
+    endpoint listenOn;
+    std::size_t maximumFrameBytes { 4 * 1024 * 1024 };
+    // A connection whose unsent bytes exceed this is closed.
+    std::size_t maximumUnsentBytes { 32 * 1024 * 1024 };
+    std::size_t maximumConnections { 4096 };
+};
+
+// Bytes moved since the start.
+struct transport_totals {
+    std::uint64_t bytesSent { 0 };
+    std::uint64_t bytesReceived { 0 };
+    std::uint64_t connectionsOpen { 0 };
+    std::uint64_t connectionsAccepted { 0 };
+
+    bool operator==(transport_totals const&) const = default;
+};
+
+// Carries frames over TCP connections: a little-endian length of four bytes, then that many bytes. One thread with
+// epoll serves all connections; any thread may send.
+class transport {
+public:
+    // Listens at once; the listener must outlive the transport. Port 0 takes a free one.
+    static result<std::unique_ptr<transport>> tryCreate(transport_settings, transport_listener&);
+    virtual ~transport() = default;
+
+    virtual std::uint16_t port() const = 0;
+    // Begins to connect; didConnect or didClose follows.
+    virtual connection_id connect(endpoint const&) = 0;
+    // Queues a frame, in order; ignored if the connection is over. Writes from the calling thread when nothing waits.
+    virtual void send(connection_id, std::string frame) = 0;
+    // Closes without sending what waits; didClose follows.
+    virtual void close(connection_id) = 0;
+    virtual transport_totals totals() const = 0;
+    // Ends the transport's thread; no listener call is made after it returns.
+    virtual void stop() = 0;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibRouting/target_chooser.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <LibCore/generator.h>
+#include <LibCore/time.h>
+#include <LibRouting/routing_snapshot.h>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace merlinpier {
+
+// How a target is chosen. Random is a baseline to measure against.
+enum class choice_policy { LeastLoadedOfTwo, Random };
+
+struct chooser_settings {
+    std::string zone;
+    choice_policy policy { choice_policy::LeastLoadedOfTwo };
+    // Calls leave the zone when its targets are loaded above this many thousandths of their slots.
+    std::uint32_t spillPermille { 900 };
+    // A target is ejected after this many failures in a row, for the first time below; longer each further time.
+    std::uint32_t failuresToEject { 3 };
+    milliseconds firstEjection { 1000 };
+    milliseconds longestEjection { 30000 };
+    // At most this share of a service's targets is ejected, and never the last.
+    double maximumEjectedShare { 0.5 };
+    // Load that was heard longer ago than this counts as unknown.
+    milliseconds loadLifetime { 2000 };
+};
+
+// What a finished attempt shows about its target.
+enum class attempt_outcome { Answered, Refused, Unreachable, Lost };
+
+// Chooses targets by own observation: outstanding calls, the load carried by answers, failures. Endpoints that report
+// health or load on their own are not asked. Holds no clock, lock or random source.
+class target_chooser {
+public:
+    explicit target_chooser(chooser_settings);
+
+    // Chooses among the service's targets less those already tried; nothing if none is left. With a key, the same
+    // target for the same key while load allows (rendezvous hash).
+    std::optional<route_target> choose(
+        service_route const&, std::set<std::string> const& tried, std::string const& key, time_point now, generator&);
+    void didSend(std::string const& target, time_point now);
+    // An attempt has ended; load in thousandths of the slots, if its answer carried it.
+    void didEnd(std::string const& target, attempt_outcome, std::optional<std::uint32_t> loadPermille, time_point now);
+    // Forgets targets that are in no service of the snapshot any more; new ones start slowly.
+    void setSnapshot(routing_snapshot const&, time_point now);
+    std::vector<std::string> ejected(time_point now) const;
+    std::size_t outstanding(std::string const& target) const;
+
+private:
+    struct observation;
+    chooser_settings m_settings;
+    std::map<std::string, std::shared_ptr<observation>> m_observations;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibWire/membership_messages.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace merlinpier {
+
+// What a target can take. Starting targets are not called; draining ones finish what they have.
+enum class target_state : std::uint8_t { Starting, Ready, Draining, Gone };
+
+// Whether a VM takes part. Leaving VMs finish what they have.
+enum class member_state : std::uint8_t { Alive, Leaving, Gone };
+
+// The state of one target, written only by the daemon of the target's VM.
+struct target_record {
+    // Unique in the fleet.
+    std::string id;
+    std::string service;
+    std::string licence;
+    // Rises with each claim on the licence; of two claims the higher holds.
+    std::uint64_t claim { 0 };
+    target_state state { target_state::Starting };
+    std::uint32_t slots { 0 };
+
+    bool operator==(target_record const&) const = default;
+};
+
+// The state of one VM, written only by its own daemon; but a relay of its zone may set Gone without raising the
+// incarnation, which the owner refutes by raising its incarnation.
+struct member_record {
+    std::string vm;
+    std::string zone;
+    // IP number and port of the daemon's peer listener, "10.0.0.1:7000".
+    std::string address;
+    // IP number and port of its HTTP listener.
+    std::string httpAddress;
+    std::uint64_t incarnation { 0 };
+    std::uint64_t sequence { 0 };
+    // Drawn at random at each start of the daemon; names the call ledger that calls address.
+    std::uint64_t instance { 0 };
+    member_state state { member_state::Alive };
+    std::uint64_t appliedVersion { 0 };
+    std::uint64_t refusedVersion { 0 };
+    std::string refusedReason;
+    std::vector<target_record> targets;
+
+    bool operator==(member_record const&) const = default;
+};
+
+// Sent by a member to each relay of its zone, once a period.
+struct heartbeat {
+    std::string vm;
+    std::uint64_t incarnation { 0 };
+    std::uint64_t sequence { 0 };
+    std::uint64_t appliedVersion { 0 };
+    std::uint64_t highestKnownVersion { 0 };
+    std::uint64_t tableDigest { 0 };
+    // Asks the receiver to act as relay for the sender whatever its own view says.
+    bool subscribes { false };
+
+    bool operator==(heartbeat const&) const = default;
+};
+
+// The relay's reply to a heartbeat.
+struct heartbeat_answer {
+    std::string vm;
+    std::uint64_t highestKnownVersion { 0 };
+    std::uint64_t tableDigest { 0 };
+    bool isRelay { false };
+    // Above zero when the relay has as many subscribers as it takes: come back after this time.
+    std::uint32_t retryAfterMs { 0 };
+
+    bool operator==(heartbeat_answer const&) const = default;
+};
+
+// Records that the receiver may not have yet.
+struct membership_update {
+    std::vector<member_record> records;
+
+    bool operator==(membership_update const&) const = default;
+};
+
+// Asks for the records of every bucket whose digest differs from the receiver's.
+struct membership_digest {
+    std::vector<std::uint64_t> buckets;
+
+    bool operator==(membership_digest const&) const = default;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Meta/test.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# Install, build, format check, lint and all tests. Steps may be named: install build format lint tests sanitizers fuzz.
+# Tests listed in KNOWN-RED.txt ("Suite.Name: reason") are printed and passed over; nothing else is.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+steps=("$@")
+[ ${#steps[@]} -eq 0 ] && steps=(install build format lint tests sanitizers fuzz)
+knownRedFilter() {
+    [ -s KNOWN-RED.txt ] || return 0
+    sed -n 's/^\([A-Za-z0-9_]*\.[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt | paste -sd: -
+}
+runTests() {
+    local folder="$1" red filter
+    red=$(knownRedFilter)
+    filter='*'
+    [ -n "$red" ] && { echo "known red, passed over: $red"; filter="*:-$red"; }
+    GTEST_FILTER="$filter" ctest --test-dir "$folder" --output-on-failure -j 4 "${@:2}"
+}
+for step in "${steps[@]}"; do
+    echo "== $step"
+    case "$step" in
+    install) bash Meta/install.sh ;;
+    build) bash Meta/build.sh build ;;
+    format) bash Meta/format.sh ;;
+    lint) bash Meta/lint.sh ;;
+    tests) runTests build ;;
+    sanitizers)
+        bash Meta/build.sh build-asan -DMERLINPIER_SANITIZER=address,undefined -DCMAKE_BUILD_TYPE=Debug
+        runTests build-asan -E System
+        bash Meta/build.sh build-tsan -DMERLINPIER_SANITIZER=thread -DCMAKE_BUILD_TYPE=Debug
+        runTests build-tsan -E System
+        ;;
+    fuzz) [ -x Meta/fuzz.sh ] && bash Meta/fuzz.sh || true ;;
+    *) echo "unknown step $step: use install build format lint tests sanitizers fuzz" >&2; exit 2 ;;
+    esac
+done
