LibWire: Tell control connections from call connections in the hello

Cause: configuration and membership travel on connections of their own, and the fence of call generations must not be raised by a control connection of the same instance. Ruled out: one connection for both, where a configuration push holds up calls; a generation of 0 as a marker, which a reader has to know about. Change: the hello names its purpose. Conclusion: schema and type only; the codec follows with LibWire.

--- a/Libraries/LibWire/frames_generated.h
+++ b/Libraries/LibWire/frames_generated.h
@@ -289,6 +289,36 @@
   return EnumNamesOutcome()[index];
 }
 
+enum class ConnectionPurpose : uint8_t {
+  Control = 0,
+  Calls = 1,
+  MIN = Control,
+  MAX = Calls
+};
+
+inline const ConnectionPurpose (&EnumValuesConnectionPurpose())[2] {
+  static const ConnectionPurpose values[] = {
+    ConnectionPurpose::Control,
+    ConnectionPurpose::Calls
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesConnectionPurpose() {
+  static const char * const names[3] = {
+    "Control",
+    "Calls",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameConnectionPurpose(ConnectionPurpose e) {
+  if (flatbuffers::IsOutRange(e, ConnectionPurpose::Control, ConnectionPurpose::Calls)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesConnectionPurpose()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   Hello = 1,
@@ -852,12 +882,16 @@
   typedef HelloBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_VM = 4,
-    VT_ZONE = 6,
-    VT_ADDRESS = 8,
-    VT_INSTANCE = 10,
-    VT_GENERATION = 12
+    VT_PURPOSE = 4,
+    VT_VM = 6,
+    VT_ZONE = 8,
+    VT_ADDRESS = 10,
+    VT_INSTANCE = 12,
+    VT_GENERATION = 14
   };
+  merlinpier::wire::ConnectionPurpose purpose() const {
+    return static_cast<merlinpier::wire::ConnectionPurpose>(GetField<uint8_t>(VT_PURPOSE, 0));
+  }
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
   }
@@ -875,6 +909,7 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_PURPOSE, 1) &&
            VerifyOffset(verifier, VT_VM) &&
            verifier.VerifyString(vm()) &&
            VerifyOffset(verifier, VT_ZONE) &&
@@ -891,6 +926,9 @@
   typedef Hello Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_purpose(merlinpier::wire::ConnectionPurpose purpose) {
+    fbb_.AddElement<uint8_t>(Hello::VT_PURPOSE, static_cast<uint8_t>(purpose), 0);
+  }
   void add_vm(flatbuffers::Offset<flatbuffers::String> vm) {
     fbb_.AddOffset(Hello::VT_VM, vm);
   }
@@ -919,6 +957,7 @@
 
 inline flatbuffers::Offset<Hello> CreateHello(
     flatbuffers::FlatBufferBuilder &_fbb,
+    merlinpier::wire::ConnectionPurpose purpose = merlinpier::wire::ConnectionPurpose::Control,
     flatbuffers::Offset<flatbuffers::String> vm = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
@@ -930,6 +969,7 @@
   builder_.add_address(address);
   builder_.add_zone(zone);
   builder_.add_vm(vm);
+  builder_.add_purpose(purpose);
   return builder_.Finish();
 }
 
@@ -940,6 +980,7 @@
 
 inline flatbuffers::Offset<Hello> CreateHelloDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    merlinpier::wire::ConnectionPurpose purpose = merlinpier::wire::ConnectionPurpose::Control,
     const char *vm = nullptr,
     const char *zone = nullptr,
     const char *address = nullptr,
@@ -950,6 +991,7 @@
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return merlinpier::wire::CreateHello(
       _fbb,
+      purpose,
       vm__,
       zone__,
       address__,
--- a/Libraries/LibWire/link_messages.h
+++ b/Libraries/LibWire/link_messages.h
@@ -5,14 +5,18 @@
 
 namespace merlinpier {
 
+// What a connection carries. Configuration and membership travel apart from calls, so that neither waits for the other.
+enum class connection_purpose : std::uint8_t { Control, Calls };
+
 // The first frame of a connection, from the side that opened it.
 struct hello {
+    connection_purpose purpose { connection_purpose::Control };
     std::string vm;
     std::string zone;
     // Where the sender's own peer listener is reached.
     std::string address;
     std::uint64_t instance { 0 };
-    // Rises with each connection from this instance to the same peer.
+    // Rises with each connection of the purpose from this instance to the same peer.
     std::uint64_t generation { 0 };
 
     bool operator==(hello const&) const = default;
