Services: Wire the daemon's parts together

Cause: the decision libraries need a process that carries their actions out: links between daemons, HTTP towards callers, targets and operators, the platform's object API. Ruled out: one lock over all parts, which would hold calls up behind configuration; parts calling each other while they hold their locks. Change: one part for each decision object under one lock of stated rank, a hub with separate links for control and calls, status put together from one relay of each zone.

--- a/Libraries/LibCore/timer_service.h
+++ b/Libraries/LibCore/timer_service.h
@@ -25,6 +25,8 @@
     timer_id subscribeOnce(duration delay, std::function<void()>);
     // Calls back again and again, the period apart.
     timer_id subscribe(duration period, std::function<void()>);
+    // Ends the thread; a callback that has begun runs to its end, and none follows. Not to be called from a callback.
+    void stop();
     // Ends a subscription; a callback that has already begun runs to its end.
     void cancel(timer_id);
 
--- a/Libraries/LibCore/worker_pool.cpp
+++ b/Libraries/LibCore/worker_pool.cpp
@@ -16,21 +16,27 @@
         m_threads.emplace_back([this] { run(); });
 }
 
-worker_pool::~worker_pool()
+worker_pool::~worker_pool() { stop(); }
+
+void worker_pool::stop()
 {
     {
         mutex_lock lock(m_mutex);
         m_isStopping = true;
     }
     m_changed.notifyAll();
-    for (auto& thread : m_threads)
-        thread.join();
+    for (auto& thread : m_threads) {
+        if (thread.joinable())
+            thread.join();
+    }
 }
 
 void worker_pool::post(std::function<void()> task)
 {
     {
         mutex_lock lock(m_mutex);
+        if (m_isStopping)
+            return;
         m_tasks.push_back(std::move(task));
     }
     m_changed.notifyAll();
--- a/Libraries/LibCore/worker_pool.h
+++ b/Libraries/LibCore/worker_pool.h
@@ -16,8 +16,10 @@
     worker_pool(worker_pool const&) = delete;
     worker_pool& operator=(worker_pool const&) = delete;
 
-    // Queues a task. Tasks still queued when the pool is destroyed are run first.
+    // Queues a task; ignored once the pool is stopped.
     void post(std::function<void()>);
+    // Runs what is queued, then ends the threads. Not to be called from a task.
+    void stop();
 
 private:
     void run();
--- /dev/null
+++ b/Services/Daemon/commit_runner.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <LibConfiguration/commit_session.h>
+#include <LibCore/mutex.h>
+#include <LibCore/timer_service.h>
+#include <LibPlatform/object_store.h>
+#include <functional>
+#include <memory>
+
+namespace merlinpier {
+
+// Receives the outcome of one submission.
+using commit_callback = std::function<void(result<accepted_submission>)>;
+
+// Carries one submission through the platform: drives a commit_session with the store's answers. Keeps itself alive
+// until the outcome is known.
+class commit_runner : public std::enable_shared_from_this<commit_runner> {
+public:
+    static void run(object_store&, timer_service&, submission, duration timeout, std::uint64_t seed, commit_callback);
+
+private:
+    commit_runner(object_store&, timer_service&, submission, time_point deadline, std::uint64_t seed, commit_callback);
+    void carryOut(std::vector<commit_action>);
+    void finish(result<accepted_submission>);
+
+    object_store& m_store;
+    timer_service& m_timers;
+    commit_callback m_callback;
+    mutex m_mutex { lock_rank::Configuration };
+    commit_session m_session ABSL_GUARDED_BY(m_mutex);
+    generator m_generator ABSL_GUARDED_BY(m_mutex);
+    bool m_isFinished ABSL_GUARDED_BY(m_mutex) { false };
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Services/Daemon/daemon_settings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibCalls/call_client.h>
+#include <LibCalls/call_server.h>
+#include <LibCore/result.h>
+#include <LibDistribution/distributor.h>
+#include <LibMembership/member.h>
+#include <LibRouting/target_chooser.h>
+#include <LibSettings/settings_reader.h>
+#include <string>
+
+namespace merlinpier {
+
+// Everything that the settings file of a daemon says, checked as a whole.
+struct daemon_settings {
+    std::string vm;
+    std::string zone;
+    // IP number and port of the listener for other daemons.
+    std::string peerAddress;
+    // IP number and port of the listener for callers, targets and operators.
+    std::string httpAddress;
+    // IP number and port of the platform's object API.
+    std::string platformAddress;
+    membership_settings membership;
+    distribution_settings distribution;
+    chooser_settings chooser;
+    call_client_settings client;
+    call_server_settings server;
+    milliseconds targetLease { 3000 };
+    // How long a planned stop waits for calls in flight.
+    milliseconds drainTimeout { 30000 };
+    // How long an operator's submission may take.
+    milliseconds submissionTimeout { 10000 };
+    int workerThreads { 2 };
+    unsigned httpThreads { 2 };
+    std::size_t maximumBodyBytes { 1024 * 1024 };
+    // 0 for information, 1 for warnings only.
+    int logLevel { 0 };
+
+    // Reads and checks the settings; every fault is in the error's message.
+    static result<daemon_settings> tryRead(settings_reader);
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Services/Daemon/http_front.cpp
@@ -0,0 +1,28 @@
+#include "http_front.h"
+
+namespace merlinpier {
+
+http_front::http_front(daemon& owner)
+    : m_daemon(owner)
+    , m_callers(owner)
+    , m_targets(owner)
+    , m_operators(owner)
+{
+}
+
+void http_front::didReceiveRequest(http_request request, std::shared_ptr<http_responder> responder)
+{
+    if (request.path.starts_with("/call/")) {
+        m_callers.didReceiveRequest(std::move(request), std::move(responder));
+        return;
+    }
+    if (request.path.starts_with("/targets/")) {
+        responder->respond(m_targets.answer(request));
+        return;
+    }
+    m_daemon.workers().post([this, request = std::move(request), responder = std::move(responder)] {
+        m_operators.didReceiveRequest(request, responder);
+    });
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Services/Daemon/http_front.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "caller_api.h"
+#include "operator_api.h"
+#include "target_api.h"
+
+namespace merlinpier {
+
+// The daemon's HTTP listener: hands each request to the interface that its path belongs to. Operators' requests run on
+// the worker pool, so that they do not hold up calls.
+class http_front final : public http_handler {
+public:
+    explicit http_front(daemon&);
+
+    void didReceiveRequest(http_request, std::shared_ptr<http_responder>) override;
+
+private:
+    daemon& m_daemon;
+    caller_api m_callers;
+    target_api m_targets;
+    operator_api m_operators;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Services/Daemon/membership_part.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "peer_hub.h"
+
+#include <LibDistribution/distributor.h>
+#include <LibMembership/member.h>
+#include <LibRouting/routing_snapshot.h>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace merlinpier {
+
+// Told of what the membership learns. Called with no lock held.
+class membership_listener {
+public:
+    virtual ~membership_listener() = default;
+    virtual void didChangeMembership() = 0;
+    virtual void didHearVersion(std::string const& address, std::uint64_t version) = 0;
+};
+
+// This VM's part in the membership as a process part: drives member with messages and time, and carries out its
+// actions. Guarded by one lock of rank Membership.
+class membership_part {
+public:
+    membership_part(membership_settings, std::uint64_t instance, peer_hub&, membership_listener&, std::uint64_t seed);
+
+    void didReceive(std::string const& address, message const&);
+    void didFailToReach(std::string const& address);
+    void tick();
+    void setTargets(std::vector<target_record>);
+    void setApplied(std::uint64_t version, std::uint64_t refused, std::string reason);
+    void setLeaving();
+    void addSeeds(std::vector<std::string> const&);
+
+    // Copies for status and dumps.
+    membership_table table() const;
+    member_record self() const;
+    std::vector<std::string> suspects() const;
+    bool hasContact() const;
+    distribution_peers peers() const;
+    std::uint64_t highestClaim(std::string const& licence) const;
+    // The version that this VM is known to have applied in an earlier life.
+    std::uint64_t appliedBefore() const;
+    // Builds a routing snapshot of the table as it is now, and hands it on before the table can change again.
+    void buildSnapshot(
+        configuration_set const&, std::function<void(std::shared_ptr<routing_snapshot const>)> const&) const;
+
+private:
+    void carryOut(std::vector<membership_action>);
+
+    peer_hub& m_hub;
+    membership_listener& m_listener;
+    mutable mutex m_mutex { lock_rank::Membership };
+    member m_member ABSL_GUARDED_BY(m_mutex);
+    generator m_generator ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Services/Daemon/operator_api.cpp
@@ -0,0 +1,199 @@
+#include "operator_api.h"
+
+#include "commit_runner.h"
+#include "state_dump.h"
+#include "status_report.h"
+
+#include <LibConfiguration/submission_json.h>
+#include <LibCore/log.h>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr std::string_view servicesPath = "/config/services";
+constexpr milliseconds dumpTimeout { 3000 };
+
+int statusFor(error_kind kind)
+{
+    switch (kind) {
+    case error_kind::BadInput:
+    case error_kind::BadSettings:
+    case error_kind::Corrupt:
+        return 400;
+    case error_kind::NotFound:
+        return 404;
+    case error_kind::Conflict:
+        return 409;
+    case error_kind::RateLimited:
+        return 429;
+    case error_kind::Unavailable:
+    case error_kind::Refused:
+    case error_kind::DeadlineExceeded:
+        return 503;
+    case error_kind::OutcomeUnknown:
+        return 504;
+    case error_kind::Internal:
+        return 500;
+    }
+    return 500;
+}
+
+nlohmann::json toJson(accepted_submission const& accepted)
+{
+    return { { "id", accepted.id }, { "version", accepted.version }, { "service", accepted.service },
+        { "revision", accepted.revision }, { "owner", accepted.owner } };
+}
+
+} // namespace
+
+http_response errorResponse(error const& failure)
+{
+    nlohmann::json const body { { "kind", errorKindName(failure.kind) }, { "message", failure.message },
+        { "remedy", failure.remedy } };
+    return jsonResponse(statusFor(failure.kind), body.dump());
+}
+
+operator_api::operator_api(daemon& owner)
+    : m_daemon(owner)
+{
+}
+
+void operator_api::didReceiveRequest(http_request const& request, std::shared_ptr<http_responder> responder)
+{
+    auto const& path = request.path;
+    if (path == "/health") {
+        bool const isReady = m_daemon.isReady();
+        responder->respond(jsonResponse(isReady ? 200 : 503, isReady ? "{\"ready\":true}" : "{\"ready\":false}"));
+    } else if (path == "/metrics") {
+        responder->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metricsText(m_daemon) });
+    } else if (path == "/state") {
+        stateOf(request.argument("vm").value_or(""), responder);
+    } else if (path == "/status") {
+        status_report::answer(m_daemon, request.argument("version").value_or(""), std::move(responder));
+    } else if (path == "/status/zone") {
+        responder->respond(jsonResponse(200, status_report::ownView(m_daemon)));
+    } else if (path == "/config/submissions" && request.method == "POST") {
+        submit(request, responder);
+    } else if (path == "/config/check" && request.method == "POST") {
+        responder->respond(check(request));
+    } else if (path == "/config/history") {
+        history(responder);
+    } else if (path == servicesPath) {
+        responder->respond(services());
+    } else if (path.starts_with(std::string(servicesPath) + "/")) {
+        responder->respond(service(path.substr(servicesPath.size() + 1)));
+    } else {
+        responder->respond(errorResponse({ error_kind::NotFound, "no such request: " + request.method + " " + path,
+            "see docs/design/interfaces.md for the requests that a daemon takes" }));
+    }
+}
+
+void operator_api::submit(http_request const& request, std::shared_ptr<http_responder> const& responder)
+{
+    auto wanted = parseSubmission(request.body);
+    if (wanted.isError()) {
+        responder->respond(errorResponse(wanted.failure()));
+        return;
+    }
+    auto const id = wanted.value().id;
+    std::random_device source;
+    commit_runner::run(m_daemon.store(), m_daemon.timers(), wanted.releaseValue(),
+        m_daemon.settings().submissionTimeout, source(), [responder, id](result<accepted_submission> outcome) {
+            if (outcome.isError()) {
+                logWarning("submission_failed", { { "submission", id }, { "reason", outcome.failure().text() } });
+                responder->respond(errorResponse(outcome.failure()));
+                return;
+            }
+            logInfo("submission_accepted", { { "submission", id }, { "version", outcome.value().version } });
+            responder->respond(jsonResponse(200, toJson(outcome.value()).dump()));
+        });
+}
+
+void operator_api::history(std::shared_ptr<http_responder> const& responder)
+{
+    m_daemon.store().read(headKey, [responder](result<std::optional<stored_object>> const& read) {
+        if (read.isError()) {
+            responder->respond(errorResponse(read.failure()));
+            return;
+        }
+        configuration_head head;
+        if (read.value()) {
+            auto parsed = parseHead(read.value()->value);
+            if (parsed.isError()) {
+                responder->respond(errorResponse(parsed.failure()));
+                return;
+            }
+            head = parsed.releaseValue();
+        }
+        nlohmann::json recent = nlohmann::json::array();
+        for (auto const& accepted : head.recent)
+            recent.push_back(toJson(accepted));
+        responder->respond(
+            jsonResponse(200, nlohmann::json { { "version", head.version }, { "recent", recent } }.dump()));
+    });
+}
+
+void operator_api::stateOf(std::string const& vm, std::shared_ptr<http_responder> const& responder)
+{
+    if (vm.empty() || vm == m_daemon.settings().vm) {
+        responder->respond(jsonResponse(200, stateDump(m_daemon)));
+        return;
+    }
+    auto const table = m_daemon.membership().table();
+    auto const* record = table.find(vm);
+    if (!record) {
+        responder->respond(errorResponse(
+            { error_kind::NotFound, "no VM " + vm + " is known here", "see merlinpier status for the VMs" }));
+        return;
+    }
+    http_client_request request;
+    request.url = "http://" + record->httpAddress + "/state";
+    request.timeout = dumpTimeout;
+    m_daemon.http().send(std::move(request), [responder, vm](result<http_response> answer) {
+        if (answer.isError())
+            responder->respond(errorResponse({ error_kind::Unavailable, "the daemon of " + vm + " does not answer",
+                "see whether the VM runs and can be reached" }));
+        else
+            responder->respond(jsonResponse(answer.value().status, answer.value().body));
+    });
+}
+
+http_response operator_api::check(http_request const& request) const
+{
+    auto const answers = parseQuestionnaire(request.body);
+    if (answers.isError())
+        return errorResponse(answers.failure());
+    auto const applied = m_daemon.configuration().applied();
+    auto const* current = applied->service(answers.value().service);
+    auto const generated = generateService(answers.value(), current ? current->revision + 1 : 1);
+    return jsonResponse(200, serializeService(generated));
+}
+
+http_response operator_api::services() const
+{
+    auto const applied = m_daemon.configuration().applied();
+    nlohmann::json list = nlohmann::json::array();
+    for (auto const& entry : applied->contents().entries)
+        list.push_back({ { "service", entry.service }, { "revision", entry.revision }, { "digest", entry.digest },
+            { "owner", applied->service(entry.service)->answers.owner } });
+    return jsonResponse(200, nlohmann::json { { "version", applied->version() }, { "services", list } }.dump());
+}
+
+http_response operator_api::service(std::string const& name) const
+{
+    auto const applied = m_daemon.configuration().applied();
+    auto const* found = applied->service(name);
+    if (!found)
+        return errorResponse(
+            { error_kind::NotFound, "no service " + name + " in version " + std::to_string(applied->version()),
+                "see merlinpier show for the services" });
+    nlohmann::json const body { { "service", name }, { "revision", found->revision },
+        { "answers", nlohmann::json::parse(canonicalJson(found->answers)) },
+        { "generated", nlohmann::json::parse(serializeService(*found)) } };
+    return jsonResponse(200, body.dump());
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Services/Daemon/peer_hub.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <LibCore/mutex.h>
+#include <LibCore/timer_service.h>
+#include <LibNet/link_table.h>
+#include <LibNet/transport.h>
+#include <LibWire/message.h>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace merlinpier {
+
+// Who this daemon is towards its peers.
+struct hub_identity {
+    std::string vm;
+    std::string zone;
+    std::string address;
+    std::uint64_t instance { 0 };
+
+    bool operator==(hub_identity const&) const = default;
+};
+
+// Told of what arrives from other daemons. Called with no lock of the hub held.
+class hub_listener {
+public:
+    virtual ~hub_listener() = default;
+    virtual void didReceiveControl(std::string const& fromAddress, message) = 0;
+    virtual void didFailToReachControl(std::string const& address) = 0;
+    // An accepted connection for calls said hello; its answer is sent when this returns.
+    virtual void didAcceptCalls(std::uint64_t instance, std::uint64_t generation) = 0;
+    // A call_request, call_cancel, call_acknowledge or call_query, from the daemon of that instance.
+    virtual void didReceiveFromOrigin(
+        std::string const& address, std::uint64_t instance, std::uint64_t generation, message)
+        = 0;
+    // An answer from the daemon of a target.
+    virtual void didReceiveFromTarget(std::string const& address, message) = 0;
+    virtual void didBecomeReadyForCalls(std::string const& address, std::uint64_t instance, std::uint64_t generation)
+        = 0;
+    virtual void didBecomeUnreachableForCalls(std::string const& address) = 0;
+};
+
+// All connections with other daemons: one link for control and one for calls to each peer that is talked to, over one
+// transport. Control messages wait while their link opens; calls wait by themselves.
+class peer_hub final : public transport_listener {
+public:
+    // The listener must outlive the hub.
+    peer_hub(hub_identity, hub_listener&);
+    ~peer_hub() override;
+
+    // Listens and starts the links' timers.
+    result<empty> start(transport_settings, timer_service&);
+    void stop();
+    std::uint16_t port() const { return m_transport->port(); }
+    void setIdentity(hub_identity);
+
+    // Sends on any connection for control with the peer, or opens one; drops the message if the peer is unreachable.
+    void sendControl(std::string const& address, message const&);
+    // Sends the call if the link is ready, with its generation filled in, and returns that generation. Otherwise opens
+    // the link, keeps the call and returns nothing; takeWaiting() hands it back when the link is ready.
+    std::optional<std::uint64_t> sendCall(std::string const& address, call_request);
+    // Sends a message about a call if the link is ready.
+    void sendAboutCall(std::string const& address, message const&);
+    std::vector<call_request> takeWaiting(std::string const& address);
+    void dropWaiting(std::string const& address, std::string const& callId);
+    void setOutstanding(std::string const& address, std::size_t count);
+    // Sends on the newest connection for calls that the instance opened, if there is one.
+    void sendToOrigin(std::uint64_t instance, message const&);
+
+    transport_totals totals() const;
+    // Bytes of control messages sent and received, frames' prefixes included.
+    std::uint64_t controlBytes() const { return m_controlBytes; }
+
+private:
+    enum class direction { Opened, Accepted };
+    struct connection {
+        direction way { direction::Opened };
+        connection_purpose purpose { connection_purpose::Control };
+        std::string address;
+        std::uint64_t instance { 0 };
+        std::uint64_t generation { 0 };
+        bool hasSaidHello { false };
+    };
+    struct event;
+
+    void didAccept(connection_id, endpoint const&) override;
+    void didConnect(connection_id) override;
+    void didReceiveFrame(connection_id, std::string) override;
+    void didClose(connection_id, error) override;
+
+    link_table& table(connection_purpose purpose) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void tick();
+    void carryOut(connection_purpose, std::vector<link_action> const&, std::vector<event>&)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void open(connection_purpose, open_connection const&, std::vector<event>&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void flushControl(std::string const& address) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void sendOn(connection_id, message const&);
+    void sendControlOn(connection_id, std::string frame);
+    void report(std::vector<event> const&);
+    void didReceiveHello(connection_id, hello const&);
+    void didReceiveFromPeer(connection_id, connection const&, message);
+    std::optional<connection> find(connection_id);
+
+    hub_listener& m_listener;
+    mutable mutex m_mutex { lock_rank::Links };
+    hub_identity m_identity ABSL_GUARDED_BY(m_mutex);
+    link_table m_controlLinks ABSL_GUARDED_BY(m_mutex);
+    link_table m_callLinks ABSL_GUARDED_BY(m_mutex);
+    std::map<connection_id, connection> m_connections ABSL_GUARDED_BY(m_mutex);
+    // The newest accepted connection of each peer.
+    std::map<std::string, connection_id> m_acceptedControl ABSL_GUARDED_BY(m_mutex);
+    std::map<std::uint64_t, connection_id> m_acceptedCalls ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, std::deque<std::string>> m_waitingControl ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, std::deque<call_request>> m_waitingCalls ABSL_GUARDED_BY(m_mutex);
+    std::atomic<std::uint64_t> m_controlBytes { 0 };
+    std::unique_ptr<transport> m_transport;
+    timer_service* m_timers { nullptr };
+    timer_id m_timer { 0 };
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Services/Daemon/state_dump.cpp
@@ -0,0 +1,149 @@
+#include "state_dump.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace merlinpier {
+
+namespace {
+
+char const* stateName(member_state state)
+{
+    switch (state) {
+    case member_state::Alive:
+        return "alive";
+    case member_state::Leaving:
+        return "leaving";
+    case member_state::Gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+char const* stateName(target_state state)
+{
+    switch (state) {
+    case target_state::Starting:
+        return "starting";
+    case target_state::Ready:
+        return "ready";
+    case target_state::Draining:
+        return "draining";
+    case target_state::Gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+nlohmann::json targetJson(target_record const& target)
+{
+    return { { "id", target.id }, { "service", target.service }, { "licence", target.licence },
+        { "claim", target.claim }, { "state", stateName(target.state) }, { "slots", target.slots } };
+}
+
+nlohmann::json memberJson(member_record const& record)
+{
+    nlohmann::json targets = nlohmann::json::array();
+    for (auto const& target : record.targets)
+        targets.push_back(targetJson(target));
+    return { { "vm", record.vm }, { "zone", record.zone }, { "address", record.address },
+        { "http_address", record.httpAddress }, { "incarnation", record.incarnation }, { "sequence", record.sequence },
+        { "instance", record.instance }, { "state", stateName(record.state) },
+        { "applied_version", record.appliedVersion }, { "refused_version", record.refusedVersion },
+        { "refused_reason", record.refusedReason }, { "targets", targets } };
+}
+
+nlohmann::json configurationJson(daemon& owner)
+{
+    auto const summary = owner.configuration().summary();
+    return { { "applied", summary.applied }, { "highest_known", summary.highestKnown }, { "floor", summary.floor },
+        { "refused", summary.refused }, { "refused_reason", summary.refusedReason }, { "ready", summary.isReady },
+        { "platform_silent_ms", summary.platformSilentFor.value_or(milliseconds(0)).count() } };
+}
+
+nlohmann::json membershipJson(daemon& owner)
+{
+    auto const table = owner.membership().table();
+    auto const peers = owner.membership().peers();
+    nlohmann::json members = nlohmann::json::array();
+    for (auto const& [vm, record] : table.records())
+        members.push_back(memberJson(record));
+    return { { "self", memberJson(owner.membership().self()) }, { "is_relay", peers.isRelay },
+        { "relays", peers.relays }, { "subscribers", peers.subscribers }, { "remote_relays", peers.remoteRelays },
+        { "suspects", owner.membership().suspects() }, { "members", members } };
+}
+
+nlohmann::json callsJson(daemon& owner)
+{
+    auto const totals = owner.calls().totals();
+    nlohmann::json targets = nlohmann::json::array();
+    for (auto const& [id, load] : owner.targets().loads())
+        targets.push_back({ { "id", id }, { "slots", load.slots }, { "running", load.running },
+            { "queued", load.queued }, { "load_permille", load.loadPermille } });
+    return { { "calls", totals.calls }, { "answered", totals.answered }, { "not_run", totals.notRun },
+        { "unknown", totals.unknown }, { "retries", totals.retries }, { "queries", totals.queries },
+        { "unsettled", owner.calls().unsettled() }, { "ejected", owner.calls().ejected() }, { "own_targets", targets },
+        { "own_targets_unsettled", owner.targets().unsettled() } };
+}
+
+nlohmann::json routesJson(daemon& owner)
+{
+    nlohmann::json services = nlohmann::json::object();
+    auto const snapshot = owner.calls().snapshot();
+    if (!snapshot)
+        return services;
+    for (auto const& [name, route] : snapshot->services()) {
+        auto& targets = services[name] = nlohmann::json::array();
+        for (auto const& target : route.targets)
+            targets.push_back(target.id);
+    }
+    return services;
+}
+
+nlohmann::json transportJson(daemon& owner)
+{
+    auto const totals = owner.hub().totals();
+    return { { "bytes_sent", totals.bytesSent }, { "bytes_received", totals.bytesReceived },
+        { "connections_open", totals.connectionsOpen }, { "connections_accepted", totals.connectionsAccepted },
+        { "control_bytes", owner.hub().controlBytes() } };
+}
+
+double residentBytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    double pages = 0;
+    double resident = 0;
+    statm >> pages >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+std::string stateDump(daemon& owner)
+{
+    nlohmann::json const dump { { "vm", owner.settings().vm }, { "zone", owner.settings().zone },
+        { "instance", owner.instance() }, { "draining", owner.isDraining() },
+        { "configuration", configurationJson(owner) }, { "membership", membershipJson(owner) },
+        { "routes", routesJson(owner) }, { "calls", callsJson(owner) }, { "transport", transportJson(owner) } };
+    return dump.dump();
+}
+
+std::string metricsText(daemon& owner)
+{
+    auto& figures = owner.figures();
+    auto const summary = owner.configuration().summary();
+    auto const totals = owner.hub().totals();
+    figures.setGauge("merlinpier_applied_version", static_cast<double>(summary.applied));
+    figures.setGauge("merlinpier_highest_known_version", static_cast<double>(summary.highestKnown));
+    figures.setGauge("merlinpier_peer_bytes_sent", static_cast<double>(totals.bytesSent));
+    figures.setGauge("merlinpier_peer_bytes_received", static_cast<double>(totals.bytesReceived));
+    figures.setGauge("merlinpier_control_bytes", static_cast<double>(owner.hub().controlBytes()));
+    figures.setGauge("merlinpier_peer_connections", static_cast<double>(totals.connectionsOpen));
+    figures.setGauge("merlinpier_retries", static_cast<double>(owner.calls().totals().retries));
+    figures.setGauge("merlinpier_resident_bytes", residentBytes());
+    figures.setGauge("merlinpier_members", static_cast<double>(owner.membership().table().records().size()));
+    return figures.prometheusText();
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Services/Daemon/status_report.cpp
@@ -0,0 +1,218 @@
+#include "status_report.h"
+
+#include "operator_api.h"
+
+#include <absl/strings/numbers.h>
+#include <nlohmann/json.hpp>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr milliseconds zoneTimeout { 1000 };
+
+char const* stateName(member_state state)
+{
+    return state == member_state::Alive ? "alive" : state == member_state::Leaving ? "leaving" : "gone";
+}
+
+member_state stateFrom(std::string const& name)
+{
+    if (name == "alive")
+        return member_state::Alive;
+    return name == "leaving" ? member_state::Leaving : member_state::Gone;
+}
+
+nlohmann::json memberJson(member_record const& record)
+{
+    return { { "vm", record.vm }, { "zone", record.zone }, { "state", stateName(record.state) },
+        { "applied_version", record.appliedVersion }, { "refused_version", record.refusedVersion },
+        { "refused_reason", record.refusedReason } };
+}
+
+member_record memberFrom(nlohmann::json const& json)
+{
+    member_record record;
+    record.vm = json.value("vm", "");
+    record.zone = json.value("zone", "");
+    record.state = stateFrom(json.value("state", ""));
+    record.appliedVersion = json.value("applied_version", std::uint64_t { 0 });
+    record.refusedVersion = json.value("refused_version", std::uint64_t { 0 });
+    record.refusedReason = json.value("refused_reason", "");
+    return record;
+}
+
+bool isAmong(std::vector<std::string> const& silent, std::string const& vm)
+{
+    return std::find(silent.begin(), silent.end(), vm) != silent.end();
+}
+
+// The HTTP addresses of a zone's relays, as this daemon's view of the membership chooses them.
+std::vector<std::string> relayHttpAddresses(membership_table const& table, std::string const& zone, std::size_t count)
+{
+    std::vector<std::string> addresses;
+    for (auto const& vm : chooseRelays(table, zone, count)) {
+        if (auto const* record = table.find(vm))
+            addresses.push_back(record->httpAddress);
+    }
+    return addresses;
+}
+
+} // namespace
+
+status_report::status_report(daemon& owner, version_number asked, std::shared_ptr<http_responder> responder)
+    : m_daemon(owner)
+    , m_asked(asked)
+    , m_responder(std::move(responder))
+{
+}
+
+void status_report::answer(daemon& owner, std::string const& askedVersion, std::shared_ptr<http_responder> responder)
+{
+    version_number asked = 0;
+    if (!askedVersion.empty() && !absl::SimpleAtoi(askedVersion, &asked)) {
+        responder->respond(errorResponse({ error_kind::BadInput, "version is no whole number: " + askedVersion,
+            "ask for a version such as /status?version=3, or for none" }));
+        return;
+    }
+    std::shared_ptr<status_report> const report(new status_report(owner, asked, std::move(responder)));
+    report->askZones();
+}
+
+std::string status_report::ownView(daemon& owner)
+{
+    auto const table = owner.membership().table();
+    nlohmann::json members = nlohmann::json::array();
+    for (auto const& [vm, record] : table.records()) {
+        if (record.zone == owner.settings().zone)
+            members.push_back(memberJson(vm == owner.settings().vm ? owner.membership().self() : record));
+    }
+    return nlohmann::json {
+        { "zone", owner.settings().zone }, { "members", members }, { "silent", owner.membership().suspects() },
+        { "highest_known", owner.configuration().summary().highestKnown }
+    }.dump();
+}
+
+void status_report::askZones()
+{
+    auto const table = m_daemon.membership().table();
+    std::map<std::string, std::vector<std::string>> relays;
+    for (auto const& [vm, record] : table.records())
+        relays[record.zone];
+    relays[m_daemon.settings().zone];
+    for (auto& [zone, addresses] : relays)
+        addresses = relayHttpAddresses(table, zone, m_daemon.settings().membership.relaysPerZone);
+    bool const isOwnRelay = m_daemon.membership().peers().isRelay || relays.size() == 1;
+    {
+        mutex_lock lock(m_mutex);
+        m_waiting = relays.size();
+        for (auto const& [vm, record] : table.records())
+            m_zones[record.zone].members.push_back(record);
+    }
+    for (auto const& [zone, addresses] : relays) {
+        if (zone == m_daemon.settings().zone && isOwnRelay)
+            didAnswerZone(zone, ownView(m_daemon));
+        else
+            askZone(zone, addresses);
+    }
+}
+
+void status_report::askZone(std::string const& zone, std::vector<std::string> httpAddresses)
+{
+    if (httpAddresses.empty()) {
+        didFailZone(zone);
+        return;
+    }
+    http_client_request request;
+    request.url = "http://" + httpAddresses.front() + "/status/zone";
+    request.timeout = zoneTimeout;
+    request.connectTimeout = zoneTimeout;
+    httpAddresses.erase(httpAddresses.begin());
+    m_daemon.http().send(std::move(request),
+        [self = shared_from_this(), zone, rest = std::move(httpAddresses)](result<http_response> const& answer) {
+            if (answer.isError() || answer.value().status != 200)
+                self->askZone(zone, rest);
+            else
+                self->didAnswerZone(zone, answer.value().body);
+        });
+}
+
+void status_report::didAnswerZone(std::string const& zone, std::string const& view)
+{
+    auto const json = nlohmann::json::parse(view, nullptr, false);
+    if (!json.is_object() || !json.contains("members")) {
+        didFailZone(zone);
+        return;
+    }
+    {
+        mutex_lock lock(m_mutex);
+        auto& known = m_zones[zone];
+        known.isReachable = true;
+        known.members.clear();
+        for (auto const& member : json["members"])
+            known.members.push_back(memberFrom(member));
+        known.silent = json.value("silent", std::vector<std::string> {});
+        known.highestKnown = json.value("highest_known", version_number { 0 });
+    }
+    didSettleOne();
+}
+
+void status_report::didFailZone(std::string const& zone)
+{
+    {
+        mutex_lock lock(m_mutex);
+        m_zones[zone].isReachable = false;
+    }
+    didSettleOne();
+}
+
+void status_report::didSettleOne()
+{
+    {
+        mutex_lock lock(m_mutex);
+        if (--m_waiting > 0)
+            return;
+    }
+    respond();
+}
+
+void status_report::respond()
+{
+    auto const summary = m_daemon.configuration().summary();
+    nlohmann::json members = nlohmann::json::array();
+    nlohmann::json behind = nlohmann::json::array();
+    nlohmann::json silent = nlohmann::json::array();
+    nlohmann::json zones = nlohmann::json::array();
+    version_number highest = summary.highestKnown;
+    mutex_lock lock(m_mutex);
+    for (auto const& [zone, view] : m_zones)
+        highest = std::max(highest, view.highestKnown);
+    auto const asked = m_asked == 0 ? highest : m_asked;
+    for (auto const& [zone, view] : m_zones) {
+        version_number lowest = highest;
+        std::size_t live = 0;
+        for (auto const& record : view.members) {
+            members.push_back(memberJson(record));
+            if (record.state != member_state::Alive)
+                continue;
+            ++live;
+            lowest = std::min(lowest, record.appliedVersion);
+            if (!view.isReachable || isAmong(view.silent, record.vm))
+                silent.push_back(record.vm);
+            else if (record.appliedVersion < asked)
+                behind.push_back(record.vm);
+        }
+        // A zone whose members have all gone has nothing left in which a version could be in force.
+        if (live > 0)
+            zones.push_back(
+                { { "zone", zone }, { "members", live }, { "applied", lowest }, { "reachable", view.isReachable } });
+    }
+    bool const inForce = behind.empty() && highest >= asked;
+    auto const platformSilent = summary.platformSilentFor.value_or(milliseconds(0)).count();
+    nlohmann::json const body { { "version", highest }, { "applied", summary.applied }, { "asked", asked },
+        { "in_force", inForce }, { "members", members }, { "behind", behind }, { "silent", silent }, { "zones", zones },
+        { "platform", { { "reachable", !summary.platformSilentFor.has_value() }, { "silent_ms", platformSilent } } } };
+    m_responder->respond(jsonResponse(200, body.dump()));
+}
+
+} // namespace merlinpier
