LibWire, LibNet, LibMetrics: Add codecs, transport, link table and metrics

Cause: the daemon needs messages on the wire, connections to carry them and figures to show. Change: codecs per subject over frames.fbs; a size prefix inside each message tells one cut short from a whole one, and the content read is counted against the size of the message, so that tables sharing bytes cannot unfold without bound. Ruled out: FlatBuffers' own size check alone, which accepts bytes after the message. Conclusion: the headers can be linked against from now on.

--- /dev/null
+++ b/Libraries/LibNet/frame_reader.cpp
@@ -0,0 +1,53 @@
+#include <LibNet/frame_reader.h>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr unsigned bitsPerByte = 8;
+
+} // namespace
+
+std::string framePrefix(std::size_t frameBytes)
+{
+    std::string prefix(framePrefixBytes, '\0');
+    for (std::size_t i = 0; i < framePrefixBytes; ++i)
+        prefix[i] = static_cast<char>((frameBytes >> (bitsPerByte * i)) & 0xff);
+    return prefix;
+}
+
+void frame_reader::append(char const* bytes, std::size_t count)
+{
+    // What was handed out is dropped only when it makes up most of the buffer, so that bytes are moved rarely.
+    if (m_read > 0 && m_read >= waiting()) {
+        m_buffer.erase(0, m_read);
+        m_read = 0;
+    }
+    m_buffer.append(bytes, count);
+}
+
+std::optional<std::string> frame_reader::next()
+{
+    if (m_isOversized || waiting() < framePrefixBytes)
+        return {};
+    std::size_t const size = announcedBytes();
+    if (size > m_maximumFrameBytes) {
+        m_isOversized = true;
+        return {};
+    }
+    if (waiting() < framePrefixBytes + size)
+        return {};
+    std::string frame = m_buffer.substr(m_read + framePrefixBytes, size);
+    m_read += framePrefixBytes + size;
+    return frame;
+}
+
+std::size_t frame_reader::announcedBytes() const
+{
+    std::size_t size = 0;
+    for (std::size_t i = 0; i < framePrefixBytes; ++i)
+        size |= static_cast<std::size_t>(static_cast<unsigned char>(m_buffer[m_read + i])) << (bitsPerByte * i);
+    return size;
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibWire/membership_codec.cpp
@@ -0,0 +1,124 @@
+#include <LibWire/membership_codec.h>
+
+namespace merlinpier {
+
+namespace {
+
+flatbuffers::Offset<wire::TargetRecord> encodeTarget(
+    flatbuffers::FlatBufferBuilder& builder, target_record const& value)
+{
+    auto const id = writeText(builder, value.id);
+    auto const service = writeText(builder, value.service);
+    auto const licence = writeText(builder, value.licence);
+    auto const state = static_cast<wire::TargetState>(value.state);
+    return wire::CreateTargetRecord(builder, id, service, licence, value.claim, state, value.slots);
+}
+
+flatbuffers::Offset<wire::MemberRecord> encodeRecord(
+    flatbuffers::FlatBufferBuilder& builder, member_record const& value)
+{
+    auto const vm = writeText(builder, value.vm);
+    auto const zone = writeText(builder, value.zone);
+    auto const address = writeText(builder, value.address);
+    auto const httpAddress = writeText(builder, value.httpAddress);
+    auto const refusedReason = writeText(builder, value.refusedReason);
+    auto const targets = writeList(builder, value.targets, encodeTarget);
+    auto const state = static_cast<wire::MemberState>(value.state);
+    return wire::CreateMemberRecord(builder, vm, zone, address, httpAddress, value.incarnation, value.sequence,
+        value.instance, state, value.appliedVersion, value.refusedVersion, refusedReason, targets);
+}
+
+target_record decodeTarget(wire_reader& reader, wire::TargetRecord const& table)
+{
+    return {
+        .id = reader.text(table.id()),
+        .service = reader.text(table.service()),
+        .licence = reader.text(table.licence()),
+        .claim = table.claim(),
+        .state = reader.enumerator<target_state>(table.state()),
+        .slots = table.slots(),
+    };
+}
+
+member_record decodeRecord(wire_reader& reader, wire::MemberRecord const& table)
+{
+    return {
+        .vm = reader.text(table.vm()),
+        .zone = reader.text(table.zone()),
+        .address = reader.text(table.address()),
+        .httpAddress = reader.text(table.http_address()),
+        .incarnation = table.incarnation(),
+        .sequence = table.sequence(),
+        .instance = table.instance(),
+        .state = reader.enumerator<member_state>(table.state()),
+        .appliedVersion = table.applied_version(),
+        .refusedVersion = table.refused_version(),
+        .refusedReason = reader.text(table.refused_reason()),
+        .targets = reader.list(table.targets(), decodeTarget),
+    };
+}
+
+} // namespace
+
+flatbuffers::Offset<wire::Heartbeat> encode(flatbuffers::FlatBufferBuilder& builder, heartbeat const& value)
+{
+    auto const vm = writeText(builder, value.vm);
+    return wire::CreateHeartbeat(builder, vm, value.incarnation, value.sequence, value.appliedVersion,
+        value.highestKnownVersion, value.tableDigest, value.subscribes);
+}
+
+flatbuffers::Offset<wire::HeartbeatAnswer> encode(
+    flatbuffers::FlatBufferBuilder& builder, heartbeat_answer const& value)
+{
+    auto const vm = writeText(builder, value.vm);
+    return wire::CreateHeartbeatAnswer(
+        builder, vm, value.highestKnownVersion, value.tableDigest, value.isRelay, value.retryAfterMs);
+}
+
+flatbuffers::Offset<wire::MembershipUpdate> encode(
+    flatbuffers::FlatBufferBuilder& builder, membership_update const& value)
+{
+    return wire::CreateMembershipUpdate(builder, writeList(builder, value.records, encodeRecord));
+}
+
+flatbuffers::Offset<wire::MembershipDigest> encode(
+    flatbuffers::FlatBufferBuilder& builder, membership_digest const& value)
+{
+    return wire::CreateMembershipDigest(builder, value.buckets.empty() ? 0 : builder.CreateVector(value.buckets));
+}
+
+heartbeat decode(wire_reader& reader, wire::Heartbeat const& table)
+{
+    return {
+        .vm = reader.text(table.vm()),
+        .incarnation = table.incarnation(),
+        .sequence = table.sequence(),
+        .appliedVersion = table.applied_version(),
+        .highestKnownVersion = table.highest_known_version(),
+        .tableDigest = table.table_digest(),
+        .subscribes = table.subscribes(),
+    };
+}
+
+heartbeat_answer decode(wire_reader& reader, wire::HeartbeatAnswer const& table)
+{
+    return {
+        .vm = reader.text(table.vm()),
+        .highestKnownVersion = table.highest_known_version(),
+        .tableDigest = table.table_digest(),
+        .isRelay = table.is_relay(),
+        .retryAfterMs = table.retry_after_ms(),
+    };
+}
+
+membership_update decode(wire_reader& reader, wire::MembershipUpdate const& table)
+{
+    return { .records = reader.list(table.records(), decodeRecord) };
+}
+
+membership_digest decode(wire_reader& reader, wire::MembershipDigest const& table)
+{
+    return { .buckets = reader.numbers(table.buckets()) };
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Tests/LibWire/message_test.cpp
@@ -0,0 +1,110 @@
+#include "arbitrary_messages.h"
+
+#include <LibWire/frames_generated.h>
+#include <LibWire/message.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace merlinpier {
+
+namespace {
+
+void expectCorrupt(std::string_view bytes)
+{
+    auto const decoded = decodeMessage(bytes);
+    ASSERT_TRUE(decoded.isError());
+    EXPECT_EQ(decoded.failure().kind, error_kind::Corrupt);
+}
+
+std::string finished(flatbuffers::FlatBufferBuilder& builder, flatbuffers::Offset<wire::Frame> frame)
+{
+    builder.FinishSizePrefixed(frame);
+    return { reinterpret_cast<char const*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+} // namespace
+
+class MessageKind : public testing::TestWithParam<std::size_t> { };
+
+TEST_P(MessageKind, SurvivesTheWire)
+{
+    EXPECT_TRUE(rc::check([kind = GetParam()] {
+        message const sent = drawMessage(kind);
+        RC_ASSERT(sent.index() == kind);
+        auto const received = decodeMessage(encodeMessage(sent));
+        RC_ASSERT(!received.isError());
+        RC_ASSERT(received.value() == sent);
+    }));
+}
+
+TEST_P(MessageKind, IsRefusedWhenCutShortOrFollowedByMore)
+{
+    EXPECT_TRUE(rc::check([kind = GetParam()] {
+        std::string const bytes = encodeMessage(drawMessage(kind));
+        RC_ASSERT(decodeMessage(bytes.substr(0, drawBelow(bytes.size()))).isError());
+        RC_ASSERT(decodeMessage(bytes + *rc::gen::arbitrary<char>()).isError());
+    }));
+}
+
+TEST_P(MessageKind, IsReadOrRefusedWhenMutated)
+{
+    EXPECT_TRUE(rc::check([kind = GetParam()] {
+        std::string bytes = encodeMessage(drawMessage(kind));
+        std::size_t const mutations = 1 + drawBelow(8);
+        for (std::size_t i = 0; i < mutations; ++i)
+            bytes[drawBelow(bytes.size())] = *rc::gen::arbitrary<char>();
+        auto const decoded = decodeMessage(bytes);
+        bool const isReadOrRefused = !decoded.isError() || decoded.failure().kind == error_kind::Corrupt;
+        RC_ASSERT(isReadOrRefused);
+    }));
+}
+
+INSTANTIATE_TEST_SUITE_P(EachKind, MessageKind, testing::Range<std::size_t>(0, std::variant_size_v<message>));
+
+RC_GTEST_PROP(Message, IsReadOrRefusedWhenRandom, ())
+{
+    auto const decoded = decodeMessage(drawText());
+    RC_ASSERT(decoded.isError());
+    RC_ASSERT(decoded.failure().kind == error_kind::Corrupt);
+}
+
+TEST(Message, IsReadAtAnyAlignment)
+{
+    message const sent = hello { "vm", "zone", "10.0.0.1:7000", 7, 9 };
+    std::string const shifted = "x" + encodeMessage(sent);
+    auto const received = decodeMessage(std::string_view(shifted).substr(1));
+    ASSERT_FALSE(received.isError());
+    EXPECT_EQ(received.value(), sent);
+}
+
+TEST(Message, IsRefusedWithoutBody)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    expectCorrupt(finished(builder, wire::CreateFrame(builder)));
+}
+
+TEST(Message, IsRefusedWithUnknownKindOfBody)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    auto const body = wire::CreatePing(builder, 1).Union();
+    expectCorrupt(finished(builder, wire::CreateFrame(builder, static_cast<wire::Body>(200), body)));
+}
+
+TEST(Message, IsRefusedWithEnumeratorOutOfRange)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    auto const body = wire::CreateCallRefused(builder, 0, static_cast<wire::Refusal>(99)).Union();
+    expectCorrupt(finished(builder, wire::CreateFrame(builder, wire::Body::CallRefused, body)));
+}
+
+// Without a bound, a message of a few kilobytes that names one string a thousand times unfolds into megabytes.
+TEST(Message, IsRefusedWhenItUnfoldsIntoMoreThanItsSize)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    auto const text = builder.CreateString(std::string(4096, 'x'));
+    std::vector<flatbuffers::Offset<flatbuffers::String>> const shared(1000, text);
+    auto const body = wire::CreateCallAcknowledge(builder, builder.CreateVector(shared)).Union();
+    expectCorrupt(finished(builder, wire::CreateFrame(builder, wire::Body::CallAcknowledge, body)));
+}
+
+} // namespace merlinpier
