LibConfiguration: Parse, generate, validate and commit configurations

Cause: the daemon needs the decisions from answers to an accepted version: strict questionnaires, canonical fragments, rules over the whole set, the version store, and the session that commits by one conditional update of the head. Ruled out: a copy of the answers as an object of its own (answersKey): the fragment holds them already, and a submission would cost one write more. Revisions that start again at 1 for a service submitted anew after its removal: an operator's base could then name other answers, so the manifest keeps the highest revision of removed services. Conclusion: thin but whole; histories of racing operators and settings are tested next.

--- a/Libraries/LibConfiguration/commit_session.h
+++ b/Libraries/LibConfiguration/commit_session.h
@@ -42,7 +42,7 @@
     write_condition condition;
     bool operator==(write_object const&) const = default;
 };
-// Asks the owner to call tick() after a delay.
+// Asks the owner to call tick() after a delay. A tick that comes early gives the rest of the delay again.
 struct wait_before_retry {
     duration delay { 0 };
     bool operator==(wait_before_retry const&) const = default;
@@ -52,8 +52,11 @@
     accepted_submission accepted;
     bool operator==(commit_accepted const&) const = default;
 };
-// The submission was not accepted: Conflict names both revisions; BadInput the rule broken; Unavailable the platform;
-// OutcomeUnknown if the head's update may have taken effect and could not be read back before the deadline.
+// The submission was not accepted: Conflict names both revisions; BadInput the rule broken; NotFound a service that is
+// to be removed and does not exist; Unavailable the platform, which did not answer before the deadline; Corrupt an
+// object of the platform that is not what merlinpier wrote; Refused a platform whose head is older than the version
+// applied here. OutcomeUnknown, alone, if the head's update may have taken effect and could not be read back before the
+// deadline: the same submission, repeated with its identifier, finds out.
 struct commit_failed {
     error reason;
     bool operator==(commit_failed const&) const = default;
@@ -61,12 +64,16 @@
 using commit_action = std::variant<read_object, write_object, wait_before_retry, commit_accepted, commit_failed>;
 
 // Carries one submission to its outcome: reads the head, its manifest and fragments, generates and validates the new
-// set, writes the immutable objects, then updates the head on condition that it has not changed. If it has: rebases
-// when only other services changed, or fails with Conflict. After an unknown outcome it reads the head again and looks
-// for its own identifier. Holds no I/O, clock or random source.
+// set, writes the immutable objects that are new, then updates the head on condition that it has not changed. If it
+// has: rebases when only other services changed, or fails with Conflict. After an unknown outcome it reads the head
+// again and looks for its own identifier. Failed calls are repeated with jittered back-off until the deadline. The
+// owner performs the actions in any order, several at a time, and may call tick() once the deadline has passed to end a
+// session whose calls are not answered; reports after the last action change nothing. Holds no I/O, clock or random
+// source.
 class commit_session {
 public:
-    commit_session(submission, time_point deadline);
+    // Fragments of the known set are not read from the platform again.
+    commit_session(submission, time_point deadline, std::shared_ptr<configuration_set const> known = nullptr);
 
     std::vector<commit_action> start(time_point now);
     std::vector<commit_action> didRead(
--- /dev/null
+++ b/Libraries/LibConfiguration/configuration_set.cpp
@@ -0,0 +1,150 @@
+#include <LibConfiguration/configuration_set.h>
+
+#include <LibConfiguration/set_rules.h>
+#include <LibCore/digest.h>
+#include <LibCore/json_object_reader.h>
+
+#include <algorithm>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr std::size_t maximumManifestBytes = 1024 * 1024;
+constexpr std::size_t maximumManifestEntries = 256;
+constexpr std::uint64_t anyNumber = std::numeric_limits<std::int64_t>::max();
+
+result<manifest_entry> readEntry(nlohmann::json const& value)
+{
+    auto reader = TRY(json_object_reader::tryCreate(value, "a manifest entry"));
+    manifest_entry entry;
+    entry.service = TRY(reader.text("service"));
+    entry.revision = TRY(reader.number("revision", 1, anyNumber));
+    entry.digest = TRY(reader.text("digest"));
+    TRY(reader.finish());
+    return entry;
+}
+
+result<empty> checkOrder(manifest const& contents)
+{
+    auto const isNotBelow = [](manifest_entry const& left, manifest_entry const& right) {
+        return left.service >= right.service;
+    };
+    auto const found = std::adjacent_find(contents.entries.begin(), contents.entries.end(), isNotBelow);
+    if (found == contents.entries.end())
+        return empty {};
+    return error { error_kind::BadInput,
+        "the manifest of version " + std::to_string(contents.version) + " is not sorted at service \"" + found->service
+            + "\", or names it twice",
+        "fetch the version again from another peer or from the platform" };
+}
+
+// Reads the content that the entry names and checks that it is what the entry says.
+result<service_configuration> readFragment(manifest_entry const& entry, std::string const& content)
+{
+    auto parsed = parseService(content);
+    if (parsed.isError()) {
+        return error { parsed.failure().kind, "service \"" + entry.service + "\": " + parsed.failure().message,
+            parsed.failure().remedy };
+    }
+    if (parsed.value().service != entry.service || parsed.value().revision != entry.revision) {
+        return error { error_kind::Corrupt,
+            "the manifest names service \"" + entry.service + "\" at revision " + std::to_string(entry.revision)
+                + ", but the fragment holds \"" + parsed.value().service + "\" at revision "
+                + std::to_string(parsed.value().revision),
+            "fetch the version again from another peer or from the platform" };
+    }
+    return parsed;
+}
+
+} // namespace
+
+std::string serializeManifest(manifest const& contents)
+{
+    auto entries = nlohmann::json::array();
+    for (auto const& entry : contents.entries)
+        entries.push_back({ { "service", entry.service }, { "revision", entry.revision }, { "digest", entry.digest } });
+    nlohmann::json const value { { "version", contents.version }, { "revision_floor", contents.revisionFloor },
+        { "entries", std::move(entries) } };
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+result<manifest> parseManifest(std::string_view content)
+{
+    auto const value = TRY(parseStrictJson(content, maximumManifestBytes, "the manifest"));
+    auto reader = TRY(json_object_reader::tryCreate(value, "the manifest"));
+    manifest contents;
+    contents.version = TRY(reader.number("version", 0, anyNumber));
+    contents.revisionFloor = TRY(reader.number("revision_floor", 0, anyNumber));
+    for (auto const& entry : *TRY(reader.list("entries", maximumManifestEntries)))
+        contents.entries.push_back(TRY(readEntry(entry)));
+    TRY(reader.finish());
+    TRY(checkOrder(contents));
+    return contents;
+}
+
+result<std::shared_ptr<configuration_set const>> configuration_set::tryCreate(
+    manifest contents, std::vector<wire_fragment> const& fragments)
+{
+    TRY(checkOrder(contents));
+    std::shared_ptr<configuration_set> set(new configuration_set);
+    std::map<std::string, std::string const*> contentsByDigest;
+    for (auto const& fragment : fragments)
+        contentsByDigest.emplace(fragment.digest, &fragment.content);
+    for (auto const& entry : contents.entries) {
+        auto const found = contentsByDigest.find(entry.digest);
+        if (found == contentsByDigest.end()) {
+            return error { error_kind::NotFound,
+                "fragment " + entry.digest + " of service \"" + entry.service + "\" is missing",
+                "fetch it from another peer or from the platform" };
+        }
+        if (contentDigest(*found->second) != entry.digest) {
+            return error { error_kind::Corrupt,
+                "the content of service \"" + entry.service + "\" does not have the digest " + entry.digest,
+                "fetch it again from another peer or from the platform" };
+        }
+        set->m_services.emplace(entry.service, TRY(readFragment(entry, *found->second)));
+        set->m_contents.emplace(entry.digest, *found->second);
+    }
+    TRY(checkServices(set->m_services));
+    set->m_digest = contentDigest(serializeManifest(contents));
+    set->m_manifest = std::move(contents);
+    return std::shared_ptr<configuration_set const>(std::move(set));
+}
+
+std::shared_ptr<configuration_set const> configuration_set::createEmpty()
+{
+    std::shared_ptr<configuration_set> set(new configuration_set);
+    set->m_digest = contentDigest(serializeManifest(set->m_manifest));
+    return set;
+}
+
+service_configuration const* configuration_set::service(std::string const& name) const
+{
+    auto const found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+std::vector<wire_fragment> configuration_set::fragmentsWithout(std::vector<std::string> const& knownDigests) const
+{
+    std::set<std::string> const known(knownDigests.begin(), knownDigests.end());
+    std::vector<wire_fragment> fragments;
+    for (auto const& entry : m_manifest.entries) {
+        if (!known.contains(entry.digest))
+            fragments.push_back({ entry.service, entry.digest, m_contents.at(entry.digest) });
+    }
+    return fragments;
+}
+
+std::vector<std::string> configuration_set::digests() const
+{
+    std::vector<std::string> digests;
+    for (auto const& entry : m_manifest.entries)
+        digests.push_back(entry.digest);
+    return digests;
+}
+
+} // namespace merlinpier
--- a/Libraries/LibConfiguration/configuration_set.h
+++ b/Libraries/LibConfiguration/configuration_set.h
@@ -26,19 +26,25 @@
 // The list of a version's fragments, sorted by service.
 struct manifest {
     version_number version { 0 };
+    // The highest revision that a removed service ever had. A new service starts above it, so that a service that is
+    // removed and submitted anew never shows an operator a revision that stood for other answers.
+    std::uint64_t revisionFloor { 0 };
     std::vector<manifest_entry> entries;
 
     bool operator==(manifest const&) const = default;
 };
 
+// Writes canonical JSON: equal manifests give equal bytes.
 std::string serializeManifest(manifest const&);
+// BadInput for anything but what serializeManifest() writes.
 result<manifest> parseManifest(std::string_view content);
 
 // One whole, valid, immutable version of the configuration.
 class configuration_set {
 public:
     // Checks every fragment against its digest and the set as a whole: each dependency and named caller exists, licence
-    // identifiers are unique, limits are sane. BadInput names the service and the rule; Corrupt a digest that differs.
+    // identifiers are unique, limits are sane. BadInput names the service and the rule; Corrupt a digest that differs;
+    // NotFound a fragment that is not among those given. Fragments that the manifest does not name are passed over.
     static result<std::shared_ptr<configuration_set const>> tryCreate(
         manifest, std::vector<wire_fragment> const& fragments);
     // Version 0, without services.
