LibMembership: Merge records, choose relays and detect silence

Cause: the daemons need one view of who lives without an election. Ruled out: putting applied versions in the owner's sequence, because each configuration change would then push every whole record to every VM; they merge by maximum beside the record instead and travel alone.

--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -2,11 +2,14 @@
 
 #include <LibCore/generator.h>
 #include <LibCore/time.h>
+#include <LibMembership/join_schedule.h>
 #include <LibMembership/membership_table.h>
+#include <LibMembership/peer_directory.h>
+#include <LibMembership/silence_detector.h>
+#include <LibMembership/update_queue.h>
 #include <LibWire/message.h>
 #include <map>
-#include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -72,6 +75,9 @@
     bool hasContact(time_point now) const;
     // Silent members of the own zone, for the state dump.
     std::vector<std::string> suspects(time_point now) const;
+    // The highest configuration version that this VM is known to have applied in an earlier life; 0 if none is known.
+    // Rises as peers' records of this VM arrive.
+    std::uint64_t appliedBefore() const { return m_appliedBefore; }
 
     std::vector<membership_action> tick(time_point now, generator&);
     std::vector<membership_action> didReceive(
@@ -88,12 +94,51 @@
     void addSeeds(std::vector<std::string> const&);
 
 private:
-    struct peer_state;
+    struct ranked_member {
+        std::string vm;
+        std::string address;
+    };
+    using actions = std::vector<membership_action>;
+
+    void join(actions&, time_point now, generator&);
+    void introduce(actions&, std::string const& address);
+    void sendHeartbeats(actions&, time_point now, generator&);
+    void sendHeartbeat(actions&, std::string const& address, bool subscribes) const;
+    void judgeSilence(actions&, time_point now);
+    void flush(actions&, time_point now);
+
+    void didReceive(actions&, std::string const& from, heartbeat const&, time_point now, generator&);
+    void didReceive(actions&, std::string const& from, heartbeat_answer const&, time_point now);
+    void didReceive(actions&, std::string const& from, membership_update const&, time_point now);
+    void didReceive(actions&, std::string const& from, membership_digest const&, time_point now);
+    void considerSender(actions&, std::string const& from, heartbeat const&, time_point now);
+    // Takes what others say of this VM: a former life's version, or a record that has to be refuted.
+    bool considerOwn(member_record const&);
+
+    void publishSelf(actions&, time_point now);
+    void refreshRanking();
+    std::vector<ranked_member> reachable(std::string const& zone) const;
+    bool isChosen() const;
+    bool isJoining() const;
+    bool isInContact(time_point now) const;
+
     membership_settings m_settings;
     member_record m_self;
     membership_table m_table;
-    std::map<std::string, std::shared_ptr<peer_state>> m_peers;
-    std::shared_ptr<struct member_internals> m_internals;
+    peer_directory m_peers;
+    silence_detector m_silence;
+    update_queue m_queue;
+    join_schedule m_joins;
+    std::map<std::string, std::vector<ranked_member>> m_ranking;
+    std::uint64_t m_rankedChanges { 0 };
+    // Applied in this life of the daemon, so that peers can be sent it.
+    std::uint64_t m_appliedHere { 0 };
+    std::uint64_t m_appliedBefore { 0 };
+    bool m_hasJoined { false };
+    std::optional<time_point> m_startedAt;
+    time_point m_now {};
+    time_point m_digestWindow {};
+    std::size_t m_digestsAnswered { 0 };
 };
 
 } // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibMembership/peer_directory.cpp
@@ -0,0 +1,133 @@
+#include <LibMembership/peer_directory.h>
+
+#include <algorithm>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr seconds firstAvoidance { 2 };
+constexpr seconds longestAvoidance { 30 };
+constexpr unsigned mostDoublings = 4;
+
+} // namespace
+
+void peer_directory::didHear(std::string const& address, time_point now)
+{
+    auto& peer = m_peers[address];
+    peer.lastUsed = now;
+    peer.unansweredSince.reset();
+    peer.failures = 0;
+    peer.avoidedUntil = {};
+    m_lastHeard = now;
+}
+
+bool peer_directory::isHeartbeatDue(std::string const& address, time_point now) const
+{
+    auto const known = m_peers.find(address);
+    return known == m_peers.end() || !known->second.nextHeartbeat || now >= *known->second.nextHeartbeat;
+}
+
+void peer_directory::didSendHeartbeat(std::string const& address, time_point now, duration untilNext)
+{
+    auto& peer = m_peers[address];
+    peer.lastUsed = now;
+    peer.nextHeartbeat = now + untilNext;
+    if (!peer.unansweredSince)
+        peer.unansweredSince = now;
+}
+
+void peer_directory::avoidUnanswering(time_point now, duration timeout)
+{
+    for (auto const& [address, peer] : m_peers) {
+        if (peer.unansweredSince && now - *peer.unansweredSince >= timeout)
+            avoidAfterFailure(address, now);
+    }
+}
+
+void peer_directory::avoidAfterFailure(std::string const& address, time_point now)
+{
+    auto& peer = m_peers[address];
+    peer.lastUsed = now;
+    peer.unansweredSince.reset();
+    peer.nextHeartbeat.reset();
+    peer.hasMatched = false;
+    auto const avoidance = std::min(firstAvoidance * (1U << std::min(peer.failures, mostDoublings)), longestAvoidance);
+    ++peer.failures;
+    peer.avoidedUntil = now + avoidance;
+}
+
+void peer_directory::avoidUntil(std::string const& address, time_point until)
+{
+    auto& peer = m_peers[address];
+    peer.avoidedUntil = until;
+    peer.nextHeartbeat.reset();
+}
+
+bool peer_directory::isAvoided(std::string const& address, time_point now) const
+{
+    auto const known = m_peers.find(address);
+    return known != m_peers.end() && now < known->second.avoidedUntil;
+}
+
+peer_directory::subscription peer_directory::subscribe(
+    std::string const& address, time_point until, std::size_t maximum)
+{
+    auto& peer = m_peers[address];
+    if (!peer.subscribedUntil && subscribers().size() >= maximum)
+        return subscription::Full;
+    peer.subscribedUntil = until;
+    return subscription::Accepted;
+}
+
+void peer_directory::unsubscribe(std::string const& address)
+{
+    if (auto known = m_peers.find(address); known != m_peers.end())
+        known->second.subscribedUntil.reset();
+}
+
+std::vector<std::string> peer_directory::subscribers() const
+{
+    std::vector<std::string> addresses;
+    for (auto const& [address, peer] : m_peers) {
+        if (peer.subscribedUntil)
+            addresses.push_back(address);
+    }
+    return addresses;
+}
+
+bool peer_directory::needsRepair(std::string const& address, bool digestsDiffer)
+{
+    auto& peer = m_peers[address];
+    if (!digestsDiffer) {
+        peer.hasMatched = true;
+        peer.differedLast = false;
+        return false;
+    }
+    bool const isPersistent = peer.differedLast || !peer.hasMatched;
+    peer.differedLast = true;
+    return isPersistent;
+}
+
+bool peer_directory::takeDigestTurn(std::string const& address, time_point now, duration period)
+{
+    auto& peer = m_peers[address];
+    if (peer.lastDigest && now - *peer.lastDigest < period)
+        return false;
+    peer.lastDigest = now;
+    peer.lastUsed = now;
+    return true;
+}
+
+void peer_directory::expire(time_point now, duration retention)
+{
+    for (auto entry = m_peers.begin(); entry != m_peers.end();) {
+        auto& peer = entry->second;
+        if (peer.subscribedUntil && now >= *peer.subscribedUntil)
+            peer.subscribedUntil.reset();
+        bool const isIdle = !peer.subscribedUntil && now - peer.lastUsed > retention;
+        entry = isIdle ? m_peers.erase(entry) : std::next(entry);
+    }
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibMembership/silence_detector.cpp
@@ -0,0 +1,75 @@
+#include <LibMembership/silence_detector.h>
+
+namespace merlinpier {
+
+silence_detector::silence_detector(duration suspectTimeout, double cutShare)
+    : m_suspectTimeout(suspectTimeout)
+    , m_cutShare(cutShare)
+{
+}
+
+void silence_detector::didHear(std::string const& vm, time_point now)
+{
+    if (auto known = m_lastHeard.find(vm); known != m_lastHeard.end())
+        known->second = now;
+}
+
+void silence_detector::observe(
+    membership_table const& table, std::string const& zone, std::string const& self, time_point now)
+{
+    // A daemon that was paused has heard nobody meanwhile, which says nothing about the others.
+    if (m_lastObservation && now - *m_lastObservation > m_suspectTimeout)
+        m_lastHeard.clear();
+    m_lastObservation = now;
+    std::map<std::string, time_point> current;
+    for (auto const& [vm, record] : table.records()) {
+        if (vm == self || record.zone != zone || record.state == member_state::Gone)
+            continue;
+        auto const known = m_lastHeard.find(vm);
+        current.emplace(vm, known == m_lastHeard.end() ? now : known->second);
+    }
+    m_lastHeard = std::move(current);
+}
+
+void silence_detector::stop()
+{
+    m_lastHeard.clear();
+    m_lastObservation.reset();
+}
+
+std::vector<std::string> silence_detector::suspects(time_point now) const
+{
+    std::vector<std::string> vms;
+    for (auto const& [vm, lastHeard] : m_lastHeard) {
+        if (now - lastHeard >= m_suspectTimeout)
+            vms.push_back(vm);
+    }
+    return vms;
+}
+
+std::vector<std::string> silence_detector::gone(membership_table const& table, time_point now) const
+{
+    std::vector<std::string> vms;
+    std::size_t unexplained = 0;
+    std::size_t staying = 1;
+    for (auto const& [vm, lastHeard] : m_lastHeard) {
+        auto const* record = table.find(vm);
+        bool const isLeaving = record && record->state == member_state::Leaving;
+        bool const isSilent = now - lastHeard >= m_suspectTimeout;
+        if (!isLeaving)
+            ++staying;
+        if (isSilent && !isLeaving)
+            ++unexplained;
+    }
+    bool const looksLikeCut = static_cast<double>(unexplained) >= m_cutShare * static_cast<double>(staying);
+    for (auto const& [vm, lastHeard] : m_lastHeard) {
+        auto const* record = table.find(vm);
+        bool const isLeaving = record && record->state == member_state::Leaving;
+        // A member that said it would leave is expected to fall silent, so no cut explains its silence better.
+        if (isLeaving ? now - lastHeard >= m_suspectTimeout : !looksLikeCut && now - lastHeard >= 2 * m_suspectTimeout)
+            vms.push_back(vm);
+    }
+    return vms;
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibMembership/update_queue.cpp
@@ -0,0 +1,36 @@
+#include <LibMembership/update_queue.h>
+
+#include <utility>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr milliseconds recordPeriod { 50 };
+// Applied versions are read by people and by status --wait; every VM's changes within a moment of each other.
+constexpr milliseconds appliedVersionPeriod { 250 };
+
+bool isDue(std::optional<time_point> const& last, time_point now, duration period)
+{
+    return !last || now - *last >= period;
+}
+
+} // namespace
+
+std::map<std::string, std::string> update_queue::takeRecords(time_point now)
+{
+    if (m_records.empty() || !isDue(m_recordsTaken, now, recordPeriod))
+        return {};
+    m_recordsTaken = now;
+    return std::exchange(m_records, {});
+}
+
+std::set<std::string> update_queue::takeAppliedVersions(time_point now)
+{
+    if (m_appliedVersions.empty() || !isDue(m_appliedVersionsTaken, now, appliedVersionPeriod))
+        return {};
+    m_appliedVersionsTaken = now;
+    return std::exchange(m_appliedVersions, {});
+}
+
+} // namespace merlinpier
