--- /dev/null
+++ b/Libraries/LibCalls/admission_queue.cpp
@@ -0,0 +1,165 @@
+#include <LibCalls/admission_queue.h>
+
+#include <algorithm>
+
+namespace merlinpier {
+
+namespace {
+
+// Weight of the newest service time in the moving mean.
+constexpr double learningShare = 0.1;
+
+} // namespace
+
+std::vector<admission_decision> admission_queue::offer(admission_request const& request, time_point now)
+{
+    using kind = admission_decision::kind;
+    std::vector<admission_decision> decisions;
+    bool const isReport = request.callClass == call_class::Report;
+    bool const mustWait = !m_urgent.empty() || (isReport && !m_reports.empty());
+    if (m_limits.isUnlimited || (!mustWait && hasSlotFor(request.callClass))) {
+        // A free slot is given whatever the service time learnt so far: else a time that was learnt too long would
+        // refuse every call and never be corrected.
+        if (!m_limits.isUnlimited && now + m_limits.deadlineMargin >= request.deadline)
+            return { refuse(request.id, kind::RefuseDeadline) };
+        start(request, now, decisions);
+        return decisions;
+    }
+    auto const ahead = m_urgent.size() + (isReport ? m_reports.size() : 0);
+    if (!canStillEnd(request, expectedWait(ahead), now))
+        return { refuse(request.id, kind::RefuseDeadline) };
+    if (queued() >= m_limits.queueLimit) {
+        if (isReport || m_reports.empty() || m_limits.queueLimit == 0)
+            return { refuse(request.id, kind::RefuseOverloaded) };
+        decisions.push_back(refuse(m_reports.back().id, kind::RefuseOverloaded));
+        m_reports.pop_back();
+    }
+    (isReport ? m_reports : m_urgent).push_back(request);
+    decisions.insert(decisions.begin(), { request.id, kind::Wait, milliseconds(0) });
+    return decisions;
+}
+
+std::vector<admission_decision> admission_queue::release(std::string const& id, learning mode, time_point now)
+{
+    std::vector<admission_decision> decisions;
+    auto const found = m_running.find(id);
+    if (found == m_running.end())
+        return decisions;
+    if (mode == learning::Learn)
+        learn(found->second.callClass, now - found->second.since);
+    m_running.erase(found);
+    startWaiting(now, decisions);
+    return decisions;
+}
+
+bool admission_queue::withdraw(std::string const& id)
+{
+    auto const isWanted = [&](admission_request const& request) {
+        return request.id == id;
+    };
+    return std::erase_if(m_urgent, isWanted) + std::erase_if(m_reports, isWanted) > 0;
+}
+
+std::vector<admission_decision> admission_queue::tick(time_point now)
+{
+    std::vector<admission_decision> decisions;
+    startWaiting(now, decisions);
+    return decisions;
+}
+
+std::uint32_t admission_queue::loadPermille() const
+{
+    auto const slots = std::max<std::size_t>(1, m_limits.slots);
+    return static_cast<std::uint32_t>((running() + queued()) * 1000 / slots);
+}
+
+// Reports leave one slot free for calls that somebody waits for, where the target has more than one.
+bool admission_queue::hasSlotFor(call_class callClass) const
+{
+    if (running() >= m_limits.slots)
+        return false;
+    bool const isReport = callClass == call_class::Report;
+    return !isReport || m_limits.slots <= 1 || runningReports() + 1 < m_limits.slots;
+}
+
+std::size_t admission_queue::runningReports() const
+{
+    return std::count_if(m_running.begin(), m_running.end(),
+        [](auto const& call) { return call.second.callClass == call_class::Report; });
+}
+
+// The wait of a call that comes after the given number of waiting calls, when every slot is taken: slots get free at a
+// rate of slots / service time of what runs.
+duration admission_queue::expectedWait(std::size_t callsAhead) const
+{
+    return serviceTimeOfRunning() * (callsAhead + 1) / std::max<std::uint32_t>(1, m_limits.slots);
+}
+
+duration admission_queue::serviceTimeOfRunning() const
+{
+    duration sum { 0 };
+    for (auto const& [id, call] : m_running)
+        sum += serviceTime(call.callClass);
+    return m_running.empty() ? sum : sum / static_cast<std::int64_t>(m_running.size());
+}
+
+duration admission_queue::serviceTime(call_class callClass) const
+{
+    return m_serviceTimes[static_cast<std::size_t>(callClass)];
+}
+
+admission_decision admission_queue::refuse(std::string const& id, admission_decision::kind kind) const
+{
+    auto const drain = std::chrono::ceil<milliseconds>(expectedWait(queued()));
+    return { id, kind, std::max(drain, milliseconds(1)) };
+}
+
+void admission_queue::start(
+    admission_request const& request, time_point now, std::vector<admission_decision>& decisions)
+{
+    m_running[request.id] = { request.callClass, now };
+    decisions.push_back({ request.id, admission_decision::kind::Run, milliseconds(0) });
+}
+
+void admission_queue::startWaiting(time_point now, std::vector<admission_decision>& decisions)
+{
+    dropLate(m_urgent, now, decisions);
+    dropLate(m_reports, now, decisions);
+    while (!m_urgent.empty() && hasSlotFor(call_class::Interactive)) {
+        start(m_urgent.front(), now, decisions);
+        m_urgent.pop_front();
+    }
+    while (m_urgent.empty() && !m_reports.empty() && hasSlotFor(call_class::Report)) {
+        start(m_reports.front(), now, decisions);
+        m_reports.pop_front();
+    }
+}
+
+void admission_queue::dropLate(
+    std::deque<admission_request>& queue, time_point now, std::vector<admission_decision>& decisions) const
+{
+    std::erase_if(queue, [&](admission_request const& request) {
+        if (canStillEnd(request, duration::zero(), now))
+            return false;
+        decisions.push_back(refuse(request.id, admission_decision::kind::RefuseDeadline));
+        return true;
+    });
+}
+
+bool admission_queue::canStillEnd(admission_request const& request, duration wait, time_point now) const
+{
+    return now + wait + serviceTime(request.callClass) + m_limits.deadlineMargin <= request.deadline;
+}
+
+void admission_queue::learn(call_class callClass, duration measured)
+{
+    auto& mean = m_serviceTimes[static_cast<std::size_t>(callClass)];
+    if (mean == duration::zero()) {
+        mean = measured;
+        return;
+    }
+    auto const change = std::chrono::duration<double, duration::period>(measured - mean) * learningShare;
+    mean += std::chrono::duration_cast<duration>(change);
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/attempt_identifier.cpp
@@ -0,0 +1,42 @@
+#include <LibCalls/attempt_identifier.h>
+
+#include <LibCore/digest.h>
+#include <charconv>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr char plainMark = '#';
+constexpr char keyedMark = '@';
+
+} // namespace
+
+std::string attempt_identifier::text() const
+{
+    return call + (isKeyed ? keyedMark : plainMark) + std::to_string(number);
+}
+
+std::optional<attempt_identifier> parseAttemptIdentifier(std::string_view text)
+{
+    auto const mark = text.find_last_of("#@");
+    if (mark == std::string_view::npos || mark == 0)
+        return std::nullopt;
+    attempt_identifier parsed { std::string(text.substr(0, mark)), 0, text[mark] == keyedMark };
+    auto const digits = text.substr(mark + 1);
+    auto const [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), parsed.number);
+    if (failure != std::errc() || end != digits.data() + digits.size() || parsed.number == 0)
+        return std::nullopt;
+    return parsed;
+}
+
+std::string keyedCallIdentifier(std::string_view service, std::string_view entryPoint, std::string_view key)
+{
+    std::string joined;
+    // Lengths keep ("ab", "c") apart from ("a", "bc").
+    for (auto part : { service, entryPoint, key })
+        joined += std::to_string(part.size()) + ':' + std::string(part);
+    return "key-" + contentDigest(joined);
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/call_client.cpp
@@ -0,0 +1,437 @@
+#include <LibCalls/call_client.h>
+
+#include <LibCalls/attempt_identifier.h>
+#include <LibCalls/refusal_text.h>
+#include <algorithm>
+
+namespace merlinpier {
+
+namespace {
+
+// When to come back to a service that has no target at all.
+constexpr std::uint32_t retryAfterNoTargetMs = 1000;
+constexpr std::uint32_t shortestRetryAfterMs = 1;
+
+bool isAboutLoad(refusal_reason reason)
+{
+    return reason == refusal_reason::Overloaded || reason == refusal_reason::DeadlineTooShort;
+}
+
+call_not_run notRun(refusal_reason reason, std::uint32_t retryAfterMs)
+{
+    return { reason, std::max(retryAfterMs, shortestRetryAfterMs), refusalText(reason) };
+}
+
+} // namespace
+
+call_client::call_client(call_client_settings settings, chooser_settings chooser)
+    : m_settings(settings)
+    , m_chooser(std::move(chooser))
+{
+}
+
+void call_client::setSnapshot(std::shared_ptr<routing_snapshot const> snapshot, time_point now)
+{
+    m_snapshot = std::move(snapshot);
+    m_chooser.setSnapshot(*m_snapshot, now);
+    for (auto const& [name, service] : m_snapshot->services()) {
+        auto const share = service.configuration.retryBudgetPermille;
+        m_budgets.try_emplace(name, share).first->second.setShare(share);
+    }
+    std::erase_if(m_budgets, [&](auto const& budget) { return !m_snapshot->service(budget.first); });
+}
+
+std::vector<client_action> call_client::start(caller_request request, time_point now, generator& random)
+{
+    actions out;
+    ++m_totals.calls;
+    if (joinInProgress(request))
+        return out;
+    auto const* service = m_snapshot ? m_snapshot->service(request.service) : nullptr;
+    auto const* entryPoint = service ? service->match(request.method, request.path) : nullptr;
+    bool const isTooDeep = request.hops >= m_settings.hopLimit;
+    std::string const id = request.id;
+    auto& record = m_calls[id];
+    record.request = std::move(request);
+    if (!entryPoint || isTooDeep) {
+        auto const reason = isTooDeep ? refusal_reason::HopLimit : refusal_reason::UnknownService;
+        complete(record, notRun(reason, retryAfterNoTargetMs), out);
+        return out;
+    }
+    record.entryPoint = *entryPoint;
+    record.deadline = now + std::min(entryPoint->deadline, record.request.remaining.value_or(entryPoint->deadline));
+    if (auto const budget = m_budgets.find(service->configuration.service); budget != m_budgets.end())
+        budget->second.didStartCall(now);
+    if (record.deadline <= now)
+        complete(record, notRun(refusal_reason::DeadlineTooShort, shortestRetryAfterMs), out);
+    else
+        send(record, now, random, out);
+    return out;
+}
+
+std::vector<client_action> call_client::cancel(std::string const& id, time_point now)
+{
+    actions out;
+    auto const found = m_calls.find(id);
+    if (found == m_calls.end() || --found->second.callers > 0)
+        return out;
+    cancelAttempt(found->second, now, out);
+    m_calls.erase(found);
+    return out;
+}
+
+void call_client::didSend(std::string const& id, std::string const& address, std::uint64_t generation, time_point now)
+{
+    auto* record = findByAttempt(id);
+    if (!record || record->attempt->target.address != address)
+        return;
+    auto& attempt = *record->attempt;
+    attempt.state = attempt_state::Sent;
+    attempt.generation = generation;
+    attempt.sentAt = now;
+}
+
+std::vector<client_action> call_client::didReceive(
+    std::string const& address, message const& received, time_point now, generator& random)
+{
+    actions out;
+    std::visit(
+        [&](auto const& content) {
+            if constexpr (requires { handle(address, content, now, random, out); })
+                handle(address, content, now, random, out);
+        },
+        received);
+    return out;
+}
+
+std::vector<client_action> call_client::didBecomeReady(
+    std::string const& address, std::uint64_t instance, std::uint64_t generation, time_point now, generator& random)
+{
+    actions out;
+    call_query query { instance, {} };
+    for (auto const& id : callsAt(address)) {
+        auto& record = m_calls.at(id);
+        auto& attempt = *record.attempt;
+        if (attempt.state == attempt_state::Dispatched || attempt.generation >= generation)
+            continue;
+        if (attempt.target.instance != instance) {
+            retryLost(record, "the target's daemon was restarted while the call was with it", now, random, out);
+            continue;
+        }
+        if (attempt.state == attempt_state::Sent)
+            attempt.askedSince = now;
+        attempt.state = attempt_state::Asking;
+        attempt.generation = generation;
+        query.ids.push_back(attempt.id);
+    }
+    if (!query.ids.empty()) {
+        m_totals.queries += query.ids.size();
+        out.push_back(send_to_target { address, std::move(query) });
+    }
+    return out;
+}
+
+std::vector<client_action> call_client::didBecomeUnreachable(
+    std::string const& address, time_point now, generator& random)
+{
+    actions out;
+    for (auto const& id : callsAt(address)) {
+        auto& record = m_calls.at(id);
+        if (record.attempt->state != attempt_state::Dispatched) {
+            retryLost(record, "the daemon that knows the outcome cannot be reached", now, random, out);
+            continue;
+        }
+        out.push_back(take_back_call { address, record.attempt->id });
+        endAttempt(record, attempt_outcome::Unreachable, std::nullopt, now);
+        retryNotRun(record, notRun(refusal_reason::TargetUnreachable, retryAfterNoTargetMs), now, random, out);
+    }
+    return out;
+}
+
+std::vector<client_action> call_client::tick(time_point now, generator& random)
+{
+    actions out;
+    std::vector<std::string> ids;
+    for (auto const& [id, record] : m_calls)
+        ids.push_back(id);
+    for (auto const& id : ids) {
+        auto& record = m_calls.at(id);
+        auto const& attempt = *record.attempt;
+        if (now >= record.deadline) {
+            expire(record, now, out);
+        } else if (attempt.state == attempt_state::Dispatched && now - attempt.dispatchedAt >= m_settings.linkTimeout) {
+            out.push_back(take_back_call { attempt.target.address, attempt.id });
+            endAttempt(record, attempt_outcome::Unreachable, std::nullopt, now);
+            retryNotRun(record, notRun(refusal_reason::TargetUnreachable, retryAfterNoTargetMs), now, random, out);
+        } else if (attempt.state == attempt_state::Asking && now - attempt.askedSince >= m_settings.queryTimeout) {
+            retryLost(record, "the daemon that knows the outcome did not reply", now, random, out);
+        }
+    }
+    flushAcknowledgements(out);
+    return out;
+}
+
+std::size_t call_client::outstanding(std::string const& address) const
+{
+    std::size_t count = 0;
+    for (auto const& id : callsAt(address))
+        count += m_calls.at(id).attempt->state != attempt_state::Dispatched;
+    return count;
+}
+
+std::size_t call_client::unsettled() const { return m_calls.size(); }
+
+call_record* call_client::findByAttempt(std::string const& attempt)
+{
+    auto const found = m_attempts.find(attempt);
+    return found == m_attempts.end() ? nullptr : &m_calls.at(found->second);
+}
+
+bool call_client::joinInProgress(caller_request const& request)
+{
+    auto const found = m_calls.find(request.id);
+    if (found == m_calls.end())
+        return false;
+    ++found->second.callers;
+    return true;
+}
+
+std::optional<route_target> call_client::chooseTarget(
+    call_record const& record, time_point now, generator& random) const
+{
+    auto const* service = m_snapshot ? m_snapshot->service(record.request.service) : nullptr;
+    if (!service)
+        return std::nullopt;
+    if (!record.isKeyed())
+        return m_chooser.choose(*service, record.tried, now, random);
+    auto const affinity = record.isBoundToTarget() ? key_affinity::Strict : key_affinity::WhereLoadAllows;
+    return m_chooser.chooseForKey(*service, record.tried, record.request.id, affinity, now);
+}
+
+void call_client::send(call_record& record, time_point now, generator& random, actions& out)
+{
+    auto const target = chooseTarget(record, now, random);
+    if (!target) {
+        complete(record, notRun(refusal_reason::UnknownTarget, retryAfterNoTargetMs), out);
+        return;
+    }
+    attempt_identifier const identifier { record.request.id, ++m_lastAttempt, record.isKeyed() };
+    ++record.attempts;
+    record.tried.insert(target->id);
+    record.attempt = call_attempt { identifier.text(), *target, attempt_state::Dispatched, 0, now };
+    m_attempts[record.attempt->id] = record.request.id;
+    m_chooser.didSend(target->id, now);
+    out.push_back(dispatch_call { target->address, makeCall(record, *target, now) });
+}
+
+call_request call_client::makeCall(call_record const& record, route_target const& target, time_point now) const
+{
+    auto const& request = record.request;
+    call_request call;
+    call.id = record.attempt->id;
+    call.instance = target.instance;
+    call.service = request.service;
+    call.target = target.id;
+    call.entryPoint = record.entryPoint.name;
+    call.method = request.method;
+    call.path = request.path;
+    call.headers = request.headers;
+    call.body = request.body;
+    call.callClass = record.entryPoint.callClass;
+    call.isIdempotent = record.entryPoint.isIdempotent;
+    call.remainingMs = static_cast<std::uint32_t>(toMilliseconds(record.deadline - now));
+    call.hops = request.hops;
+    call.version = m_snapshot->version();
+    return call;
+}
+
+void call_client::endAttempt(
+    call_record& record, attempt_outcome outcome, std::optional<std::uint32_t> loadPermille, time_point now)
+{
+    m_chooser.didEnd(record.attempt->target.id, outcome, loadPermille, now);
+    m_attempts.erase(record.attempt->id);
+    record.attempt.reset();
+}
+
+bool call_client::mayRetry(call_record const& record, time_point now)
+{
+    if (now >= record.deadline || record.attempts >= m_settings.maximumAttempts)
+        return false;
+    if (m_settings.retries == retry_policy::Always)
+        return true;
+    auto const budget = m_budgets.find(record.request.service);
+    return budget != m_budgets.end() && budget->second.tryTake(now);
+}
+
+// The attempt has ended and was not run: tries elsewhere, or gives the refusal as the final answer.
+void call_client::retryNotRun(
+    call_record& record, call_not_run refusal, time_point now, generator& random, actions& out)
+{
+    bool const isFinal = refusal.reason == refusal_reason::HopLimit
+        || (record.isBoundToTarget()
+            && (isAboutLoad(refusal.reason) || refusal.reason == refusal_reason::TargetUnreachable));
+    // A choice is looked for first, so that no budget is spent where there is no other target.
+    if (isFinal || !chooseTarget(record, now, random) || !mayRetry(record, now)) {
+        complete(record, std::move(refusal), out);
+        return;
+    }
+    ++m_totals.retries;
+    send(record, now, random, out);
+}
+
+// The attempt may have run: only an idempotent call is tried again.
+void call_client::retryLost(call_record& record, std::string message, time_point now, generator& random, actions& out)
+{
+    endAttempt(record, attempt_outcome::Lost, std::nullopt, now);
+    bool const isAllowed = record.entryPoint.isIdempotent || m_settings.retries == retry_policy::Always;
+    if (!isAllowed || !chooseTarget(record, now, random) || !mayRetry(record, now)) {
+        message += "; it may have run: look at its effect before you repeat it";
+        complete(record, call_outcome_unknown { std::move(message) }, out);
+        return;
+    }
+    ++m_totals.retries;
+    send(record, now, random, out);
+}
+
+// Ends the call; the record is gone afterwards.
+void call_client::complete(call_record& record, final_outcome outcome, actions& out)
+{
+    m_totals.answered += std::holds_alternative<call_answered>(outcome);
+    m_totals.notRun += std::holds_alternative<call_not_run>(outcome);
+    m_totals.unknown += std::holds_alternative<call_outcome_unknown>(outcome);
+    std::string const id = record.request.id;
+    out.push_back(complete_call { id, std::move(outcome) });
+    m_calls.erase(id);
+}
+
+void call_client::expire(call_record& record, time_point now, actions& out)
+{
+    bool const wasSent = record.attempt->state != attempt_state::Dispatched;
+    cancelAttempt(record, now, out);
+    if (wasSent)
+        complete(record,
+            call_outcome_unknown { "the deadline passed before the answer came; it may have run: look at its effect "
+                                   "before you repeat it" },
+            out);
+    else
+        complete(record, notRun(refusal_reason::DeadlineTooShort, retryAfterNoTargetMs), out);
+}
+
+void call_client::cancelAttempt(call_record& record, time_point now, actions& out)
+{
+    auto const& attempt = *record.attempt;
+    auto const& address = attempt.target.address;
+    if (attempt.state == attempt_state::Dispatched)
+        out.push_back(take_back_call { address, attempt.id });
+    else
+        out.push_back(send_to_target { address, call_cancel { attempt.id } });
+    endAttempt(record, attempt_outcome::Refused, std::nullopt, now);
+}
+
+void call_client::handle(
+    std::string const& address, call_answer const& answer, time_point now, generator&, actions& out)
+{
+    acknowledge(address, answer.id);
+    auto* record = findByAttempt(answer.id);
+    if (!record || record->attempt->target.address != address)
+        return;
+    call_answered outcome { answer, record->attempt->target.id, record->attempts };
+    outcome.answer.id = record->request.id;
+    endAttempt(*record, attempt_outcome::Answered, answer.loadPermille, now);
+    complete(*record, std::move(outcome), out);
+}
+
+void call_client::handle(
+    std::string const& address, call_refused const& refusal, time_point now, generator& random, actions& out)
+{
+    auto* record = findByAttempt(refusal.id);
+    if (!record || record->attempt->target.address != address)
+        return;
+    endAttempt(*record, attempt_outcome::Refused, refusal.loadPermille, now);
+    retryNotRun(*record, notRun(refusal.reason, refusal.retryAfterMs), now, random, out);
+}
+
+void call_client::handle(
+    std::string const& address, call_lost const& lost, time_point now, generator& random, actions& out)
+{
+    acknowledge(address, lost.id);
+    auto* record = findByAttempt(lost.id);
+    if (!record || record->attempt->target.address != address)
+        return;
+    retryLost(*record, "the target was lost while the call ran", now, random, out);
+}
+
+void call_client::handle(
+    std::string const& address, call_query_answer const& answer, time_point now, generator& random, actions& out)
+{
+    for (auto const& status : answer.statuses) {
+        auto* record = findByAttempt(status.id);
+        if (!record || record->attempt->target.address != address || record->attempt->state != attempt_state::Asking)
+            continue;
+        bool const isOtherLedger = record->attempt->target.instance != answer.instance;
+        if (isOtherLedger)
+            retryLost(*record, "the target's daemon was restarted while the call was with it", now, random, out);
+        else
+            handleStatus(address, status, now, random, out);
+    }
+}
+
+void call_client::handleStatus(
+    std::string const& address, call_status const& status, time_point now, generator& random, actions& out)
+{
+    auto& record = *findByAttempt(status.id);
+    switch (status.outcome) {
+    case call_outcome::Finished:
+        if (status.answer && status.answer->id == status.id)
+            handle(address, *status.answer, now, random, out);
+        else
+            retryLost(record, "the answer is no longer kept", now, random, out);
+        return;
+    case call_outcome::Running:
+        record.attempt->state = attempt_state::Sent;
+        return;
+    case call_outcome::Refused:
+    case call_outcome::Unknown:
+        handleNeverAdmitted(record, now, random, out);
+        return;
+    case call_outcome::CannotTell:
+    case call_outcome::OutcomeUnknown:
+        retryLost(record, "the target was lost while the call ran", now, random, out);
+        return;
+    }
+}
+
+void call_client::handleNeverAdmitted(call_record& record, time_point now, generator& random, actions& out)
+{
+    if (now - record.attempt->sentAt >= m_settings.ledgerMemory) {
+        retryLost(record, "the ledger that knew the call may have forgotten it", now, random, out);
+        return;
+    }
+    endAttempt(record, attempt_outcome::Refused, std::nullopt, now);
+    retryNotRun(record, notRun(refusal_reason::StaleGeneration, shortestRetryAfterMs), now, random, out);
+}
+
+// Acknowledgements are gathered until the next tick: they are in no haste, and one frame carries many.
+void call_client::acknowledge(std::string const& address, std::string const& attempt)
+{
+    m_acknowledgements[address].push_back(attempt);
+}
+
+void call_client::flushAcknowledgements(actions& out)
+{
+    for (auto& [address, ids] : m_acknowledgements)
+        out.push_back(send_to_target { address, call_acknowledge { std::move(ids) } });
+    m_acknowledgements.clear();
+}
+
+std::vector<std::string> call_client::callsAt(std::string const& address) const
+{
+    std::vector<std::string> ids;
+    for (auto const& [attempt, id] : m_attempts) {
+        if (m_calls.at(id).attempt->target.address == address)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+} // namespace merlinpier
--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibCalls/call_record.h>
+#include <LibCalls/caller_request.h>
 #include <LibCore/generator.h>
 #include <LibCore/time.h>
 #include <LibRouting/retry_budget.h>
@@ -25,25 +27,10 @@
     // How long a lost link's daemon is asked before the outcome counts as unknown.
     milliseconds queryTimeout { 900 };
     std::uint32_t hopLimit { 8 };
-};
-
-// A request of a caller, already matched to its service and entry point.
-struct caller_request {
-    // Unique; derived from service and key when the caller gave an Idempotency-Key.
-    std::string id;
-    std::string service;
-    // The calling service, or empty for a caller outside the mesh.
-    std::string caller;
-    std::string method;
-    std::string path;
-    std::vector<header_field> headers;
-    std::string body;
-    std::string idempotencyKey;
-    // What is left of the deadline, when the caller is inside a call; otherwise the entry point's deadline applies.
-    std::optional<milliseconds> remaining;
-    std::uint32_t hops { 0 };
-
-    bool operator==(caller_request const&) const = default;
+    // A ledger's "never admitted" is believed for this long after the call was sent. It must be shorter than the time
+    // for which ledgers remember calls (call_server_settings::answerRetention), or a call that ran and was forgotten
+    // would be taken for one that did not run.
+    milliseconds ledgerMemory { 20000 };
 };
 
 // The whole answer of the target.
@@ -68,7 +55,7 @@
 using final_outcome = std::variant<call_answered, call_not_run, call_outcome_unknown>;
 
 // Asks the owner to send the call to the daemon as soon as its link is ready, filling in the link's generation and
-// reporting by didSend(); until then the call can be taken back.
+// reporting by didSend(); until then the call can be taken back. Its id is that of the attempt.
 struct dispatch_call {
     std::string address;
     call_request call;
@@ -80,7 +67,8 @@
     std::variant<call_cancel, call_acknowledge, call_query> content;
     bool operator==(send_to_target const&) const = default;
 };
-// Asks the owner to drop a dispatched call that has not been sent yet.
+// Asks the owner to drop a dispatched call that has not been sent yet. The owner reports didSend() before it handles
+// any later action, so that a call is never both sent and taken back.
 struct take_back_call {
     std::string address;
     std::string id;
@@ -113,10 +101,12 @@
     call_client(call_client_settings, chooser_settings);
 
     void setSnapshot(std::shared_ptr<routing_snapshot const>, time_point now);
+    // Takes in a request. One whose id is in progress, as a repeated key is, joins that call: a single complete_call
+    // answers both callers.
     std::vector<client_action> start(caller_request, time_point now, generator&);
-    // The caller has gone.
+    // The caller has gone; no complete_call follows unless another caller waits for the same id.
     std::vector<client_action> cancel(std::string const& id, time_point now);
-    // The frame of a dispatched call was handed to a link of this generation and instance.
+    // The frame of a dispatched call was handed to a link of this generation. The id is that of the attempt.
     void didSend(std::string const& id, std::string const& address, std::uint64_t generation, time_point now);
     // A call_answer, call_refused, call_lost or call_query_answer arrived from the daemon.
     std::vector<client_action> didReceive(std::string const& address, message const&, time_point now, generator&);
@@ -130,11 +120,45 @@
     // Calls sent to the daemon and not yet ended, for the link's silence detection.
     std::size_t outstanding(std::string const& address) const;
     std::size_t unsettled() const;
-    call_client_totals const& totals() const;
-    target_chooser const& chooser() const;
+    call_client_totals const& totals() const { return m_totals; }
+    target_chooser const& chooser() const { return m_chooser; }
 
 private:
-    std::shared_ptr<struct call_client_internals> m_internals;
+    using actions = std::vector<client_action>;
+
+    call_record* findByAttempt(std::string const& attempt);
+    bool joinInProgress(caller_request const&);
+    std::optional<route_target> chooseTarget(call_record const&, time_point now, generator&) const;
+    void send(call_record&, time_point now, generator&, actions&);
+    call_request makeCall(call_record const&, route_target const&, time_point now) const;
+    void endAttempt(call_record&, attempt_outcome, std::optional<std::uint32_t> loadPermille, time_point now);
+    bool mayRetry(call_record const&, time_point now);
+    void retryNotRun(call_record&, call_not_run, time_point now, generator&, actions&);
+    void retryLost(call_record&, std::string message, time_point now, generator&, actions&);
+    void complete(call_record&, final_outcome, actions&);
+    void expire(call_record&, time_point now, actions&);
+    void cancelAttempt(call_record&, time_point now, actions&);
+
+    void handle(std::string const& address, call_answer const&, time_point now, generator&, actions&);
+    void handle(std::string const& address, call_refused const&, time_point now, generator&, actions&);
+    void handle(std::string const& address, call_lost const&, time_point now, generator&, actions&);
+    void handle(std::string const& address, call_query_answer const&, time_point now, generator&, actions&);
+    void handleStatus(std::string const& address, call_status const&, time_point now, generator&, actions&);
+    void handleNeverAdmitted(call_record&, time_point now, generator&, actions&);
+    void acknowledge(std::string const& address, std::string const& attempt);
+    void flushAcknowledgements(actions&);
+    std::vector<std::string> callsAt(std::string const& address) const;
+
+    call_client_settings m_settings;
+    target_chooser m_chooser;
+    std::shared_ptr<routing_snapshot const> m_snapshot;
+    std::map<std::string, call_record> m_calls;
+    // The call of each attempt that has not ended.
+    std::map<std::string, std::string> m_attempts;
+    std::map<std::string, retry_budget> m_budgets;
+    std::map<std::string, std::vector<std::string>> m_acknowledgements;
+    std::uint64_t m_lastAttempt { 0 };
+    call_client_totals m_totals;
 };
 
 } // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/call_ledger.cpp
@@ -0,0 +1,122 @@
+#include <LibCalls/call_ledger.h>
+
+#include <algorithm>
+
+namespace merlinpier {
+
+namespace {
+
+std::size_t bytesOf(call_answer const& answer)
+{
+    std::size_t bytes = answer.body.size();
+    for (auto const& header : answer.headers)
+        bytes += header.name.size() + header.value.size();
+    return bytes;
+}
+
+} // namespace
+
+call_ledger::call_ledger(std::size_t maximumAnswerBytes)
+    : m_maximumAnswerBytes(maximumAnswerBytes)
+{
+}
+
+ledger_entry* call_ledger::find(std::string const& call)
+{
+    auto const found = m_entries.find(call);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+ledger_entry* call_ledger::findWaiter(call_waiter const& waiter, std::string const& call)
+{
+    auto* entry = find(call);
+    if (!entry || std::find(entry->waiters.begin(), entry->waiters.end(), waiter) == entry->waiters.end())
+        return nullptr;
+    return entry;
+}
+
+ledger_entry& call_ledger::add(std::string const& call, ledger_entry entry)
+{
+    erase(call);
+    return m_entries[call] = std::move(entry);
+}
+
+void call_ledger::finish(ledger_entry& entry, call_answer answer, time_point now)
+{
+    entry.state = run_state::Finished;
+    entry.endedAt = now;
+    m_answerBytes += bytesOf(answer);
+    entry.answer = std::move(answer);
+    dropOldestAnswers();
+}
+
+void call_ledger::lose(ledger_entry& entry, time_point now)
+{
+    entry.state = run_state::Lost;
+    entry.endedAt = now;
+}
+
+void call_ledger::release(call_waiter const& waiter, std::string const& call)
+{
+    auto* entry = find(call);
+    if (!entry)
+        return;
+    std::erase(entry->waiters, waiter);
+    if (entry->waiters.empty() && entry->hasEnded() && !entry->isKeyed)
+        erase(call);
+}
+
+void call_ledger::erase(std::string const& call)
+{
+    auto const found = m_entries.find(call);
+    if (found == m_entries.end())
+        return;
+    dropAnswer(found->second);
+    m_entries.erase(found);
+}
+
+void call_ledger::expire(time_point now)
+{
+    std::vector<std::string> over;
+    for (auto const& [call, entry] : m_entries) {
+        if (entry.hasEnded() && now - entry.endedAt > entry.retention)
+            over.push_back(call);
+    }
+    for (auto const& call : over)
+        erase(call);
+}
+
+std::size_t call_ledger::unsettled() const
+{
+    return std::count_if(m_entries.begin(), m_entries.end(), [](auto const& item) {
+        auto const& entry = item.second;
+        return !entry.hasEnded() || (entry.state == run_state::Finished && !entry.waiters.empty());
+    });
+}
+
+void call_ledger::dropAnswer(ledger_entry& entry)
+{
+    if (!entry.answer)
+        return;
+    m_answerBytes -= bytesOf(*entry.answer);
+    entry.answer.reset();
+}
+
+// Memory is bounded by forgetting what was answered longest ago; the entry itself stays, so that a repeat is known and
+// does not run.
+void call_ledger::dropOldestAnswers()
+{
+    while (m_answerBytes > m_maximumAnswerBytes) {
+        ledger_entry* oldest = nullptr;
+        for (auto& [call, entry] : m_entries) {
+            if (entry.answer && (!oldest || entry.endedAt < oldest->endedAt))
+                oldest = &entry;
+        }
+        if (!oldest)
+            return;
+        dropAnswer(*oldest);
+        oldest->state = run_state::Expired;
+    }
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/call_record.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibCalls/call_attempt.h>
+#include <LibCalls/caller_request.h>
+#include <LibConfiguration/service_configuration.h>
+#include <set>
+
+namespace merlinpier {
+
+// A call that has no final answer yet.
+struct call_record {
+    caller_request request;
+    entry_point_answer entryPoint;
+    time_point deadline {};
+    // Targets that were tried, and how often in all.
+    std::set<std::string> tried;
+    std::uint32_t attempts { 0 };
+    std::optional<call_attempt> attempt;
+    // Callers that wait for this one answer: more than one if a key was repeated meanwhile.
+    std::uint32_t callers { 1 };
+
+    bool isKeyed() const { return !request.idempotencyKey.empty(); }
+    // A keyed call that must not run twice is only ever sent to the one target whose ledger knows its key.
+    bool isBoundToTarget() const { return isKeyed() && !entryPoint.isIdempotent; }
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/call_server.cpp
@@ -0,0 +1,382 @@
+#include <LibCalls/call_server.h>
+
+#include <absl/strings/match.h>
+#include <algorithm>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr std::uint32_t statusServiceUnavailable = 503;
+// When to come back after a refusal that is not about load: by then routes will have followed.
+constexpr milliseconds retryAfterRouteChange { 100 };
+
+bool vouchesForNotRun(call_answer const& answer)
+{
+    if (answer.status != statusServiceUnavailable)
+        return false;
+    return std::any_of(answer.headers.begin(), answer.headers.end(), [](header_field const& header) {
+        return absl::EqualsIgnoreCase(header.name, "Merlinpier-Not-Run")
+            && absl::EqualsIgnoreCase(header.value, "true");
+    });
+}
+
+bool isLicensed(target_announcement const& target, service_configuration const& service)
+{
+    auto const& licences = service.answers.licences;
+    return target.state != target_state::Gone
+        && std::find(licences.begin(), licences.end(), target.licence) != licences.end();
+}
+
+} // namespace
+
+call_server::call_server(call_server_settings settings)
+    : m_settings(settings)
+    , m_ledger(settings.maximumAnswerBytes)
+{
+}
+
+void call_server::raiseFence(call_origin const& origin, time_point now)
+{
+    m_fence.raise(origin.instance, origin.generation, now);
+}
+
+std::vector<server_action> call_server::didReceiveCall(call_origin const& origin, call_request const& call,
+    local_targets const& targets, configuration_set const& configuration, time_point now)
+{
+    std::vector<server_action> actions;
+    m_version = std::max<std::uint64_t>(m_version, configuration.version());
+    call_waiter const waiter { origin.instance, call.id };
+    auto const attempt = parseAttemptIdentifier(call.id);
+    bool const isStale = m_fence.isStale(origin.instance, std::min(origin.generation, call.generation));
+    if (!attempt || isStale) {
+        refuse(waiter, call, refusal_reason::StaleGeneration, retryAfterRouteChange, now, actions);
+        return actions;
+    }
+    if (call.instance != m_settings.instance) {
+        refuse(waiter, call, refusal_reason::OtherInstance, retryAfterRouteChange, now, actions);
+        return actions;
+    }
+    if (isKnownAttempt(origin, *attempt, call, now, actions) || joinEarlierRun(origin, *attempt, call, actions))
+        return actions;
+
+    auto const service = configuration.services().find(call.service);
+    auto const* serviceConfiguration = service == configuration.services().end() ? nullptr : &service->second;
+    if (auto const reason = reasonToRefuse(call, targets, serviceConfiguration)) {
+        refuse(waiter, call, *reason, retryAfterRouteChange, now, actions);
+        return actions;
+    }
+    ledger_entry entry { call, run_state::Queued, attempt->isKeyed, { waiter } };
+    entry.call.id = attempt->call;
+    entry.deadline = now + milliseconds(call.remainingMs);
+    entry.targetAddress = targets.find(call.target)->address;
+    entry.retention = std::max<duration>(
+        m_settings.answerRetention, attempt->isKeyed ? serviceConfiguration->answerRetention : duration::zero());
+    m_ledger.add(attempt->call, entry);
+    auto& queue = queueOf(call, *serviceConfiguration);
+    apply(queue.offer({ attempt->call, call.callClass, entry.deadline }, now), now, actions);
+    return actions;
+}
+
+// Handles an attempt that has been here already: it is never admitted again.
+bool call_server::isKnownAttempt(call_origin const& origin, attempt_identifier const& attempt, call_request const& call,
+    time_point now, std::vector<server_action>& actions)
+{
+    call_waiter const waiter { origin.instance, call.id };
+    if (auto const* entry = m_ledger.findWaiter(waiter, attempt.call)) {
+        reply(*entry, waiter, actions);
+        return true;
+    }
+    auto& window = m_fence.window(origin.instance, now);
+    auto const verdict = window.look(attempt.number);
+    if (verdict == replay_window::verdict::New) {
+        window.add(attempt.number);
+        return false;
+    }
+    // Below the window it may be a first arrival that was long on its way: a refusal lets it run elsewhere. If it is a
+    // repeat of a call that ran, its first daemon has acknowledged the answer and ignores the refusal.
+    if (verdict == replay_window::verdict::BelowWindow)
+        refuse(waiter, call, refusal_reason::StaleGeneration, retryAfterRouteChange, now, actions);
+    return true;
+}
+
+// Lets an attempt share the run of an earlier one of the same call; false if the call has to run.
+bool call_server::joinEarlierRun(call_origin const& origin, attempt_identifier const& attempt, call_request const& call,
+    std::vector<server_action>& actions)
+{
+    auto* entry = m_ledger.find(attempt.call);
+    if (!entry)
+        return false;
+    bool const isAnswerGone = entry->hasEnded() && !entry->answer;
+    if (isAnswerGone && call.isIdempotent) {
+        m_ledger.erase(attempt.call);
+        return false;
+    }
+    call_waiter const waiter { origin.instance, call.id };
+    entry->waiters.push_back(waiter);
+    reply(*entry, waiter, actions);
+    return true;
+}
+
+std::optional<refusal_reason> call_server::reasonToRefuse(
+    call_request const& call, local_targets const& targets, service_configuration const* service) const
+{
+    if (call.hops >= m_settings.hopLimit)
+        return refusal_reason::HopLimit;
+    if (!service)
+        return refusal_reason::UnknownService;
+    auto const* target = targets.find(call.target);
+    if (!target || target->service != call.service)
+        return refusal_reason::UnknownTarget;
+    if (!isLicensed(*target, *service))
+        return refusal_reason::Unlicensed;
+    if (target->state == target_state::Starting)
+        return refusal_reason::TargetUnreachable;
+    if (target->state != target_state::Ready)
+        return refusal_reason::Draining;
+    return std::nullopt;
+}
+
+std::vector<server_action> call_server::didReceiveCancel(
+    call_origin const& origin, call_cancel const& cancel, time_point now)
+{
+    std::vector<server_action> actions;
+    auto const attempt = parseAttemptIdentifier(cancel.id);
+    if (!attempt)
+        return actions;
+    // Should the cancel overtake its call, the call must not run either.
+    m_fence.window(origin.instance, now).add(attempt->number);
+    call_waiter const waiter { origin.instance, cancel.id };
+    auto* entry = m_ledger.findWaiter(waiter, attempt->call);
+    if (!entry)
+        return actions;
+    bool const isLast = entry->waiters.size() == 1;
+    if (isLast && entry->state == run_state::Queued) {
+        m_queues[entry->call.target].withdraw(attempt->call);
+        m_ledger.erase(attempt->call);
+        return actions;
+    }
+    if (isLast && entry->state == run_state::Running)
+        actions.push_back(abort_call { attempt->call });
+    m_ledger.release(waiter, attempt->call);
+    return actions;
+}
+
+void call_server::didReceiveAcknowledge(call_origin const& origin, call_acknowledge const& acknowledge)
+{
+    for (auto const& id : acknowledge.ids) {
+        if (auto const attempt = parseAttemptIdentifier(id))
+            m_ledger.release({ origin.instance, id }, attempt->call);
+    }
+}
+
+std::vector<server_action> call_server::didReceiveQuery(
+    call_origin const& origin, call_query const& query, time_point now)
+{
+    // A query on a connection that has been replaced was asked again on the newest.
+    if (m_fence.isStale(origin.instance, origin.generation))
+        return {};
+    call_query_answer answer { m_settings.instance, {} };
+    for (auto const& id : query.ids) {
+        bool const isOurs = query.instance == m_settings.instance;
+        answer.statuses.push_back(
+            isOurs ? statusOf(origin, id, now) : call_status { id, call_outcome::CannotTell, {}, {} });
+    }
+    return { reply_to_origin { origin.instance, answer } };
+}
+
+call_status call_server::statusOf(call_origin const& origin, std::string const& id, time_point now)
+{
+    auto const attempt = parseAttemptIdentifier(id);
+    if (!attempt)
+        return { id, call_outcome::CannotTell, {}, {} };
+    if (auto const* entry = m_ledger.findWaiter({ origin.instance, id }, attempt->call)) {
+        if (!entry->hasEnded())
+            return { id, call_outcome::Running, {}, {} };
+        if (!entry->answer)
+            return { id, call_outcome::OutcomeUnknown, {}, {} };
+        auto answer = *entry->answer;
+        answer.id = id;
+        return { id, call_outcome::Finished, std::move(answer), {} };
+    }
+    auto& window = m_fence.window(origin.instance, now);
+    switch (window.look(attempt->number)) {
+    case replay_window::verdict::Seen:
+        return { id, call_outcome::OutcomeUnknown, {}, {} };
+    case replay_window::verdict::SeenNotRun: {
+        auto const retryAfter = static_cast<std::uint32_t>(retryAfterRouteChange.count());
+        return { id, call_outcome::Refused, {}, call_refused { id, refusal_reason::Overloaded, retryAfter } };
+    }
+    default:
+        // The fence keeps frames of older connections out; the mark keeps the frame out on any connection.
+        window.markNotRun(attempt->number);
+        return { id, call_outcome::Unknown, {}, {} };
+    }
+}
+
+std::vector<server_action> call_server::didFinish(std::string const& id, call_answer answer, time_point now)
+{
+    std::vector<server_action> actions;
+    auto* entry = m_ledger.find(id);
+    if (!entry || entry->state != run_state::Running)
+        return actions;
+    if (vouchesForNotRun(answer)) {
+        auto const call = entry->call;
+        auto& queue = m_queues[call.target];
+        auto const retryAfter = std::chrono::ceil<milliseconds>(queue.serviceTime(call.callClass));
+        auto const decisions = queue.release(id, admission_queue::learning::Ignore, now);
+        refuseWaiters(id, refusal_reason::Overloaded, std::max(retryAfter, milliseconds(1)), now, actions);
+        apply(decisions, now, actions);
+        return actions;
+    }
+    auto const call = entry->call;
+    auto const decisions = m_queues[call.target].release(id, admission_queue::learning::Learn, now);
+    answer.loadPermille = loadOf(call.target);
+    answer.version = m_version;
+    m_ledger.finish(*entry, std::move(answer), now);
+    for (auto const& waiter : entry->waiters)
+        reply(*entry, waiter, actions);
+    if (entry->waiters.empty() && !entry->isKeyed)
+        m_ledger.erase(id);
+    apply(decisions, now, actions);
+    return actions;
+}
+
+std::vector<server_action> call_server::didFail(std::string const& id, time_point now)
+{
+    std::vector<server_action> actions;
+    auto const* entry = m_ledger.find(id);
+    if (!entry || entry->state != run_state::Running)
+        return actions;
+    auto const decisions = m_queues[entry->call.target].release(id, admission_queue::learning::Ignore, now);
+    refuseWaiters(id, refusal_reason::TargetUnreachable, retryAfterRouteChange, now, actions);
+    apply(decisions, now, actions);
+    return actions;
+}
+
+std::vector<server_action> call_server::didLose(std::string const& id, time_point now)
+{
+    std::vector<server_action> actions;
+    auto* entry = m_ledger.find(id);
+    if (!entry || entry->state != run_state::Running)
+        return actions;
+    auto const decisions = m_queues[entry->call.target].release(id, admission_queue::learning::Ignore, now);
+    m_ledger.lose(*entry, now);
+    for (auto const& waiter : entry->waiters)
+        reply(*entry, waiter, actions);
+    if (entry->waiters.empty() && !entry->isKeyed)
+        m_ledger.erase(id);
+    apply(decisions, now, actions);
+    return actions;
+}
+
+std::vector<server_action> call_server::tick(time_point now)
+{
+    std::vector<server_action> actions;
+    for (auto& [target, queue] : m_queues)
+        apply(queue.tick(now), now, actions);
+    m_ledger.expire(now);
+    m_fence.expire(now, m_settings.originRetention);
+    return actions;
+}
+
+std::size_t call_server::running() const
+{
+    std::size_t count = 0;
+    for (auto const& [target, queue] : m_queues)
+        count += queue.running();
+    return count;
+}
+
+std::size_t call_server::queued() const
+{
+    std::size_t count = 0;
+    for (auto const& [target, queue] : m_queues)
+        count += queue.queued();
+    return count;
+}
+
+std::size_t call_server::unsettled() const { return m_ledger.unsettled(); }
+
+std::map<std::string, target_load> call_server::loads() const
+{
+    std::map<std::string, target_load> loads;
+    for (auto const& [target, queue] : m_queues) {
+        loads[target] = { queue.limits().slots, static_cast<std::uint32_t>(queue.running()),
+            static_cast<std::uint32_t>(queue.queued()), queue.loadPermille() };
+    }
+    return loads;
+}
+
+admission_queue& call_server::queueOf(call_request const& call, service_configuration const& service)
+{
+    auto& queue = m_queues[call.target];
+    bool const isUnlimited = m_settings.admission == admission_policy::Unlimited;
+    queue.setLimits({ service.answers.slotsPerCopy, service.queueLimit, m_settings.deadlineMargin, isUnlimited });
+    return queue;
+}
+
+void call_server::refuse(call_waiter const& waiter, call_request const& call, refusal_reason reason,
+    milliseconds retryAfter, time_point now, std::vector<server_action>& actions)
+{
+    if (auto const attempt = parseAttemptIdentifier(waiter.attempt))
+        m_fence.window(waiter.instance, now).markNotRun(attempt->number);
+    call_refused const refusal { waiter.attempt, reason, static_cast<std::uint32_t>(retryAfter.count()),
+        loadOf(call.target), m_version };
+    actions.push_back(reply_to_origin { waiter.instance, refusal });
+}
+
+// Every attempt of a call that is not going to run is told so; then the call leaves the ledger, so that a new attempt
+// may be admitted.
+void call_server::refuseWaiters(std::string const& id, refusal_reason reason, milliseconds retryAfter, time_point now,
+    std::vector<server_action>& actions)
+{
+    auto const* entry = m_ledger.find(id);
+    if (!entry)
+        return;
+    for (auto const& waiter : entry->waiters)
+        refuse(waiter, entry->call, reason, retryAfter, now, actions);
+    m_ledger.erase(id);
+}
+
+void call_server::apply(
+    std::vector<admission_decision> const& decisions, time_point now, std::vector<server_action>& actions)
+{
+    using kind = admission_decision::kind;
+    for (auto const& decision : decisions) {
+        auto* entry = m_ledger.find(decision.id);
+        if (!entry || decision.what == kind::Wait)
+            continue;
+        if (decision.what == kind::Run) {
+            entry->state = run_state::Running;
+            auto const left = std::chrono::ceil<milliseconds>(entry->deadline - now);
+            actions.push_back(run_call { entry->call, entry->targetAddress, left });
+            continue;
+        }
+        bool const isLate = decision.what == kind::RefuseDeadline;
+        auto const reason = isLate ? refusal_reason::DeadlineTooShort : refusal_reason::Overloaded;
+        refuseWaiters(decision.id, reason, decision.retryAfter, now, actions);
+    }
+}
+
+void call_server::reply(ledger_entry const& entry, call_waiter const& waiter, std::vector<server_action>& actions) const
+{
+    if (!entry.hasEnded())
+        return;
+    if (!entry.answer) {
+        call_lost const lost { waiter.attempt, loadOf(entry.call.target), m_version };
+        actions.push_back(reply_to_origin { waiter.instance, lost });
+        return;
+    }
+    auto answer = *entry.answer;
+    answer.id = waiter.attempt;
+    actions.push_back(reply_to_origin { waiter.instance, std::move(answer) });
+}
+
+std::uint32_t call_server::loadOf(std::string const& target) const
+{
+    auto const found = m_queues.find(target);
+    return found == m_queues.end() ? 0 : found->second.loadPermille();
+}
+
+} // namespace merlinpier
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include <LibCalls/admission_queue.h>
+#include <LibCalls/attempt_identifier.h>
+#include <LibCalls/call_ledger.h>
+#include <LibCalls/generation_fence.h>
 #include <LibCalls/local_targets.h>
 #include <LibCore/time.h>
 #include <LibWire/call_messages.h>
 #include <LibWire/message.h>
 #include <map>
-#include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -24,6 +28,8 @@
     // A call is refused on arrival when its expected wait exceeds what is left of its deadline, less this.
     milliseconds deadlineMargin { 5 };
     std::uint32_t hopLimit { 8 };
+    // Fence and attempt numbers of a first daemon's instance are forgotten after it has been silent for this long.
+    milliseconds originRetention { 24 * 3600 * 1000 };
 };
 
 // The first daemon that a call came from: its instance names it for good, the connection is where to answer now.
@@ -34,7 +40,8 @@
     bool operator==(call_origin const&) const = default;
 };
 
-// Asks the owner to send the call to its target over HTTP and to report by didFinish(), didFail() or didLose().
+// Asks the owner to send the call to its target over HTTP and to report by didFinish(), didFail() or didLose(). The
+// call's id is that of the call, without the attempt: one call runs at most once at a time.
 struct run_call {
     call_request call;
     std::string targetAddress;
@@ -72,14 +79,14 @@
     explicit call_server(call_server_settings);
 
     // A daemon said hello: frames of lower generations from it are refused from now on.
-    void raiseFence(call_origin const&);
+    void raiseFence(call_origin const&, time_point now);
     std::vector<server_action> didReceiveCall(
         call_origin const&, call_request const&, local_targets const&, configuration_set const&, time_point now);
     std::vector<server_action> didReceiveCancel(call_origin const&, call_cancel const&, time_point now);
     void didReceiveAcknowledge(call_origin const&, call_acknowledge const&);
     std::vector<server_action> didReceiveQuery(call_origin const&, call_query const&, time_point now);
 
-    // The target answered whole.
+    // The target answered whole. Status 503 with "Merlinpier-Not-Run: true" is its word that nothing was run.
     std::vector<server_action> didFinish(std::string const& id, call_answer, time_point now);
     // The request certainly did not reach the target.
     std::vector<server_action> didFail(std::string const& id, time_point now);
@@ -95,7 +102,27 @@
     std::map<std::string, target_load> loads() const;
 
 private:
-    std::shared_ptr<struct call_server_internals> m_internals;
+    admission_queue& queueOf(call_request const&, service_configuration const&);
+    bool isKnownAttempt(call_origin const&, attempt_identifier const&, call_request const&, time_point now,
+        std::vector<server_action>&);
+    bool joinEarlierRun(
+        call_origin const&, attempt_identifier const&, call_request const&, std::vector<server_action>&);
+    std::optional<refusal_reason> reasonToRefuse(
+        call_request const&, local_targets const&, service_configuration const*) const;
+    void refuse(call_waiter const&, call_request const&, refusal_reason, milliseconds retryAfter, time_point now,
+        std::vector<server_action>&);
+    void refuseWaiters(
+        std::string const& call, refusal_reason, milliseconds retryAfter, time_point now, std::vector<server_action>&);
+    void apply(std::vector<admission_decision> const&, time_point now, std::vector<server_action>&);
+    void reply(ledger_entry const&, call_waiter const&, std::vector<server_action>&) const;
+    call_status statusOf(call_origin const&, std::string const& attempt, time_point now);
+    std::uint32_t loadOf(std::string const& target) const;
+
+    call_server_settings m_settings;
+    call_ledger m_ledger;
+    generation_fence m_fence;
+    std::map<std::string, admission_queue> m_queues;
+    std::uint64_t m_version { 0 };
 };
 
 } // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/generation_fence.cpp
@@ -0,0 +1,32 @@
+#include <LibCalls/generation_fence.h>
+
+#include <algorithm>
+
+namespace merlinpier {
+
+void generation_fence::raise(std::uint64_t instance, std::uint64_t generation, time_point now)
+{
+    auto& origin = m_origins[instance];
+    origin.generation = std::max(origin.generation, generation);
+    origin.lastHeard = std::max(origin.lastHeard, now);
+}
+
+bool generation_fence::isStale(std::uint64_t instance, std::uint64_t generation) const
+{
+    auto const found = m_origins.find(instance);
+    return found != m_origins.end() && generation < found->second.generation;
+}
+
+replay_window& generation_fence::window(std::uint64_t instance, time_point now)
+{
+    auto& origin = m_origins[instance];
+    origin.lastHeard = std::max(origin.lastHeard, now);
+    return origin.window;
+}
+
+void generation_fence::expire(time_point now, duration retention)
+{
+    std::erase_if(m_origins, [&](auto const& origin) { return now - origin.second.lastHeard > retention; });
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/generation_fence.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibCalls/replay_window.h>
+#include <LibCore/time.h>
+#include <cstdint>
+#include <map>
+
+namespace merlinpier {
+
+// Keeps, for each first daemon's instance, the generation below which its frames are refused and the attempt numbers
+// that were seen. A raised generation makes frames that are still on their way on older connections harmless, as a
+// fencing token does with writes of a former lease holder (Burrows 2006, "sequencers").
+class generation_fence {
+public:
+    // Raises the fence of an instance; a lower generation changes nothing.
+    void raise(std::uint64_t instance, std::uint64_t generation, time_point now);
+    bool isStale(std::uint64_t instance, std::uint64_t generation) const;
+    replay_window& window(std::uint64_t instance, time_point now);
+    // Forgets instances that have sent nothing for the retention time. It has to be far above the life of a frame.
+    void expire(time_point now, duration retention);
+    std::size_t size() const { return m_origins.size(); }
+
+private:
+    struct origin_state {
+        std::uint64_t generation { 0 };
+        replay_window window;
+        time_point lastHeard {};
+    };
+
+    std::map<std::uint64_t, origin_state> m_origins;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/local_targets.cpp
@@ -0,0 +1,137 @@
+#include <LibCalls/local_targets.h>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+
+namespace merlinpier {
+
+namespace {
+
+bool isAddress(std::string const& text)
+{
+    auto const colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    in_addr parsed {};
+    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) != 1)
+        return false;
+    unsigned port = 0;
+    auto const* const end = text.data() + text.size();
+    auto const [last, failure] = std::from_chars(text.data() + colon + 1, end, port);
+    return failure == std::errc() && last == end && port > 0 && port <= 65535;
+}
+
+result<empty> check(target_announcement const& announcement)
+{
+    if (announcement.id.empty() || announcement.service.empty() || announcement.licence.empty())
+        return error { error_kind::BadInput, "an announcement lacks id, service or licence",
+            "give all three, the licence as listed in the service's answers" };
+    if (!isAddress(announcement.address))
+        return error { error_kind::BadInput, "\"" + announcement.address + "\" is no IP number with a port",
+            "announce the address as IP:PORT, such as 127.0.0.1:9000" };
+    return empty {};
+}
+
+error unknownTarget(std::string const& id)
+{
+    return { error_kind::NotFound, "no target " + id + " is announced on this VM",
+        "look for its VM in the status, or let it announce itself first" };
+}
+
+} // namespace
+
+local_targets::local_targets(milliseconds lease)
+    : m_lease(lease)
+{
+}
+
+result<empty> local_targets::announce(
+    target_announcement const& announcement, std::uint64_t highestKnownClaim, time_point now)
+{
+    TRY(check(announcement));
+    for (auto const& [id, other] : m_entries) {
+        if (id != announcement.id && other.announcement.licence == announcement.licence)
+            return error { error_kind::Conflict, "licence " + announcement.licence + " is in use by target " + id,
+                "stop that target first, or give this one a licence of its own" };
+    }
+    auto const known = m_entries.find(announcement.id);
+    bool const isRenewal = known != m_entries.end() && known->second.announcement.licence == announcement.licence;
+    if (!isRenewal) {
+        m_entries[announcement.id] = { announcement, highestKnownClaim + 1, now + m_lease };
+        return empty {};
+    }
+    auto& entry = known->second;
+    // A drain that was ordered here is not undone by a renewal that does not know of it yet, nor is a lost claim.
+    bool const keepsState = entry.isDrainOrdered || entry.isClaimLost;
+    auto const state = keepsState ? entry.announcement.state : announcement.state;
+    entry.announcement = announcement;
+    entry.announcement.state = state;
+    entry.leaseUntil = now + m_lease;
+    return empty {};
+}
+
+result<empty> local_targets::drain(std::string const& id, time_point)
+{
+    auto const found = m_entries.find(id);
+    if (found == m_entries.end())
+        return unknownTarget(id);
+    found->second.drain();
+    return empty {};
+}
+
+result<empty> local_targets::leave(std::string const& id, time_point)
+{
+    if (m_entries.erase(id) == 0)
+        return unknownTarget(id);
+    return empty {};
+}
+
+void local_targets::drainAll(time_point)
+{
+    for (auto& [id, entry] : m_entries)
+        entry.drain();
+}
+
+void local_targets::tick(time_point now)
+{
+    std::erase_if(m_entries, [&](auto const& item) { return now >= item.second.leaseUntil; });
+}
+
+void local_targets::didLoseClaim(std::string const& licence, std::uint64_t claim)
+{
+    for (auto& [id, entry] : m_entries) {
+        if (entry.announcement.licence != licence || entry.claim >= claim)
+            continue;
+        entry.isClaimLost = true;
+        entry.announcement.state = target_state::Gone;
+    }
+}
+
+target_announcement const* local_targets::find(std::string const& id) const
+{
+    auto const found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second.announcement;
+}
+
+std::vector<target_record> local_targets::records(configuration_set const& configuration) const
+{
+    std::vector<target_record> records;
+    for (auto const& [id, entry] : m_entries) {
+        auto const& target = entry.announcement;
+        auto const service = configuration.services().find(target.service);
+        bool const isConfigured = service != configuration.services().end();
+        std::uint32_t const slots = isConfigured ? service->second.answers.slotsPerCopy : 0;
+        records.push_back({ id, target.service, target.licence, entry.claim, target.state, slots });
+    }
+    return records;
+}
+
+void local_targets::entry::drain()
+{
+    isDrainOrdered = true;
+    if (announcement.state != target_state::Gone)
+        announcement.state = target_state::Draining;
+}
+
+} // namespace merlinpier
--- a/Libraries/LibCalls/local_targets.h
+++ b/Libraries/LibCalls/local_targets.h
@@ -38,7 +38,9 @@
     void drainAll(time_point now);
     // Ends announcements whose lease has run out.
     void tick(time_point now);
-    // Somebody else holds a higher claim on the licence: the copy here gets no calls until it announces again.
+    // Somebody else holds a higher claim on the licence: the copy here is Gone until it leaves, or until its lease has
+    // run out, and announces again. A mere renewal does not claim the licence back, or two copies would take it from
+    // each other for ever.
     void didLoseClaim(std::string const& licence, std::uint64_t claim);
 
     target_announcement const* find(std::string const& id) const;
@@ -46,9 +48,18 @@
     std::vector<target_record> records(configuration_set const&) const;
 
 private:
-    struct entry;
+    struct entry {
+        target_announcement announcement;
+        std::uint64_t claim { 0 };
+        time_point leaseUntil {};
+        bool isDrainOrdered { false };
+        bool isClaimLost { false };
+
+        void drain();
+    };
+
     milliseconds m_lease;
-    std::map<std::string, std::shared_ptr<entry>> m_entries;
+    std::map<std::string, entry> m_entries;
 };
 
 } // namespace merlinpier
--- a/Libraries/LibRouting/retry_budget.h
+++ b/Libraries/LibRouting/retry_budget.h
@@ -6,7 +6,7 @@
 namespace merlinpier {
 
 // Bounds the retries of one service to a share of its calls: each call adds to the budget, each retry takes one whole
-// unit from it.
+// unit from it. The token scheme is that of Finagle's RetryBudget and of gRPC's retry throttling (gRFC A6).
 class retry_budget {
 public:
     // The share in thousandths of calls; the floor is what a quiet service may always spend, in retries a second.
@@ -16,8 +16,12 @@
     // Takes one retry from the budget; false if it does not hold one.
     bool tryTake(time_point now);
     double available(time_point now) const;
+    // A new configuration may change the share; what has been saved stays.
+    void setShare(std::uint32_t sharePermille) { m_sharePermille = sharePermille; }
 
 private:
+    void accrue(time_point now);
+
     std::uint32_t m_sharePermille;
     std::uint32_t m_floorPerSecond;
     double m_balance { 0 };
--- /dev/null
+++ b/Libraries/LibRouting/routing_snapshot.cpp
@@ -0,0 +1,160 @@
+#include <LibRouting/routing_snapshot.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace merlinpier {
+
+namespace {
+
+std::vector<std::string_view> segmentsOf(std::string_view path)
+{
+    path = path.substr(0, path.find('?'));
+    std::vector<std::string_view> segments;
+    std::size_t begin = path.starts_with('/') ? 1 : 0;
+    while (begin <= path.size()) {
+        std::size_t const end = std::min(path.find('/', begin), path.size());
+        segments.push_back(path.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return segments;
+}
+
+bool isPlaceholder(std::string_view segment) { return segment.starts_with('{') && segment.ends_with('}'); }
+
+// Says which segments of the pattern matched literally, earliest first; nothing if the path does not match.
+std::optional<std::vector<bool>> matchSegments(
+    std::vector<std::string_view> const& pattern, std::vector<std::string_view> const& path)
+{
+    if (pattern.size() != path.size())
+        return std::nullopt;
+    std::vector<bool> literal;
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        bool const isOpen = isPlaceholder(pattern[i]);
+        if (isOpen ? path[i].empty() : pattern[i] != path[i])
+            return std::nullopt;
+        literal.push_back(!isOpen);
+    }
+    return literal;
+}
+
+bool isRoutable(member_record const& member, target_record const& target, configuration_set const& configuration)
+{
+    if (member.state != member_state::Alive || target.state != target_state::Ready)
+        return false;
+    auto const service = configuration.services().find(target.service);
+    if (service == configuration.services().end())
+        return false;
+    auto const& licences = service->second.answers.licences;
+    return std::find(licences.begin(), licences.end(), target.licence) != licences.end();
+}
+
+struct licence_claim {
+    member_record const* member { nullptr };
+    target_record const* target { nullptr };
+};
+
+bool outranks(licence_claim const& first, licence_claim const& second)
+{
+    return std::tie(second.target->claim, first.member->vm, first.target->id)
+        < std::tie(first.target->claim, second.member->vm, second.target->id);
+}
+
+// A copy that is not ready still holds its licence: a lower claim elsewhere gets no calls because of it.
+bool claimsLicence(member_record const& member, target_record const& target)
+{
+    return member.state != member_state::Gone && target.state != target_state::Gone && !target.licence.empty();
+}
+
+std::map<std::string, licence_claim> highestClaims(membership_table const& membership)
+{
+    std::map<std::string, licence_claim> holders;
+    for (auto const& [vm, member] : membership.records()) {
+        for (auto const& target : member.targets) {
+            if (!claimsLicence(member, target))
+                continue;
+            licence_claim const claim { &member, &target };
+            auto const [holder, isNew] = holders.try_emplace(target.licence, claim);
+            if (!isNew && outranks(claim, holder->second))
+                holder->second = claim;
+        }
+    }
+    return holders;
+}
+
+error danglingRoute(std::string const& what)
+{
+    return { error_kind::Internal, "route dangles: " + what,
+        "keep the snapshot before this one and report the defect with a state dump" };
+}
+
+} // namespace
+
+entry_point_answer const* service_route::match(std::string_view method, std::string_view path) const
+{
+    auto const segments = segmentsOf(path);
+    entry_point_answer const* best = nullptr;
+    std::vector<bool> bestLiteral;
+    for (auto const& candidate : configuration.answers.entryPoints) {
+        if (candidate.method != method)
+            continue;
+        auto literal = matchSegments(segmentsOf(candidate.path), segments);
+        if (!literal || (best && *literal <= bestLiteral))
+            continue;
+        best = &candidate;
+        bestLiteral = std::move(*literal);
+    }
+    return best;
+}
+
+std::shared_ptr<routing_snapshot const> routing_snapshot::build(
+    configuration_set const& configuration, membership_table const& membership)
+{
+    auto snapshot = std::make_shared<routing_snapshot>();
+    snapshot->m_version = configuration.version();
+    for (auto const& [name, service] : configuration.services())
+        snapshot->m_services[name].configuration = service;
+    for (auto const& [licence, holder] : highestClaims(membership)) {
+        auto const& [member, target] = holder;
+        if (!isRoutable(*member, *target, configuration))
+            continue;
+        snapshot->m_services[target->service].targets.push_back(
+            { target->id, member->vm, member->zone, member->address, member->instance, target->slots });
+    }
+    for (auto& [name, service] : snapshot->m_services) {
+        std::sort(service.targets.begin(), service.targets.end(),
+            [](auto const& first, auto const& second) { return first.id < second.id; });
+    }
+    return snapshot;
+}
+
+service_route const* routing_snapshot::service(std::string const& name) const
+{
+    auto const found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+result<empty> routing_snapshot::verify(configuration_set const& configuration, membership_table const& membership) const
+{
+    if (m_version != configuration.version())
+        return danglingRoute("the snapshot is of another version than the configuration");
+    for (auto const& [name, service] : m_services) {
+        if (!configuration.services().contains(name))
+            return danglingRoute("service " + name + " is not in the configuration");
+        for (auto const& target : service.targets) {
+            auto const member = membership.records().find(target.vm);
+            if (member == membership.records().end())
+                return danglingRoute("VM " + target.vm + " of target " + target.id + " is not a member");
+            bool const isKnown
+                = std::any_of(member->second.targets.begin(), member->second.targets.end(), [&](auto const& record) {
+                      return record.id == target.id && record.service == name
+                          && isRoutable(member->second, record, configuration);
+                  });
+            if (!isKnown)
+                return danglingRoute("target " + target.id + " of service " + name + " is not ready at its VM");
+        }
+    }
+    return empty {};
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibRouting/target_chooser.cpp
@@ -0,0 +1,232 @@
+#include <LibRouting/target_chooser.h>
+
+#include <LibCore/digest.h>
+#include <algorithm>
+
+namespace merlinpier {
+
+namespace {
+
+// Added to the score of a copy that has just become ready, in thousandths of its slots; it falls to 0 over slow start.
+constexpr double coldPenaltyPermille = 1000;
+// A cold copy counts as having at least this share of its slots.
+constexpr double smallestColdShare = 0.1;
+constexpr std::uint32_t mostEjectionDoublings = 16;
+
+double warmShare(target_observation const& seen, time_point now)
+{
+    if (seen.slowStart <= duration::zero() || now >= seen.knownSince + seen.slowStart)
+        return 1;
+    double const share = std::chrono::duration<double>(now - seen.knownSince) / seen.slowStart;
+    return std::max(share, smallestColdShare);
+}
+
+} // namespace
+
+target_chooser::target_chooser(chooser_settings settings)
+    : m_settings(std::move(settings))
+{
+}
+
+std::optional<route_target> target_chooser::choose(
+    service_route const& service, std::set<std::string> const& tried, time_point now, generator& random) const
+{
+    auto const all = admissible(service, tried, now);
+    if (all.empty())
+        return std::nullopt;
+    if (m_settings.policy == choice_policy::Random)
+        return *all[uniformBelow(random, all.size())];
+
+    candidates local;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(local),
+        [&](auto const* target) { return target->zone == m_settings.zone; });
+    auto const* nearest = lesserOfTwo(local, now, random);
+    if (nearest && score(*nearest, now) <= m_settings.spillPermille)
+        return *nearest;
+    auto const* anywhere = lesserOfTwo(all, now, random);
+    bool const isNearestBetter = nearest && score(*nearest, now) <= score(*anywhere, now);
+    return isNearestBetter ? *nearest : *anywhere;
+}
+
+std::optional<route_target> target_chooser::chooseForKey(service_route const& service,
+    std::set<std::string> const& tried, std::string const& key, key_affinity affinity, time_point now) const
+{
+    candidates ranked;
+    for (auto const& target : service.targets) {
+        if (!tried.contains(target.id))
+            ranked.push_back(&target);
+    }
+    if (ranked.empty())
+        return std::nullopt;
+    std::uint64_t const seed = hash64(key);
+    std::sort(ranked.begin(), ranked.end(), [&](auto const* first, auto const* second) {
+        return std::pair(hash64(first->id, seed), first->id) > std::pair(hash64(second->id, seed), second->id);
+    });
+    if (affinity == key_affinity::Strict)
+        return *ranked.front();
+
+    auto const inUse = withoutEjected(ranked, now);
+    auto const light = std::find_if(inUse.begin(), inUse.end(),
+        [&](auto const* target) { return score(*target, now) <= m_settings.spillPermille; });
+    return light == inUse.end() ? *inUse.front() : **light;
+}
+
+void target_chooser::didSend(std::string const& target, time_point now)
+{
+    auto const [seen, isNew] = m_observations.try_emplace(target);
+    if (isNew)
+        seen->second.knownSince = now;
+    ++seen->second.outstanding;
+}
+
+void target_chooser::didEnd(
+    std::string const& target, attempt_outcome outcome, std::optional<std::uint32_t> loadPermille, time_point now)
+{
+    auto const found = m_observations.find(target);
+    if (found == m_observations.end())
+        return;
+    auto& seen = found->second;
+    if (seen.outstanding > 0)
+        --seen.outstanding;
+    if (loadPermille) {
+        seen.loadPermille = *loadPermille;
+        seen.loadHeardAt = now;
+    }
+    if (outcome == attempt_outcome::Unreachable || outcome == attempt_outcome::Lost)
+        return didFail(seen, now);
+    seen.failuresInRow = 0;
+    if (outcome == attempt_outcome::Answered && !seen.isEjected(now))
+        seen.ejections = 0;
+}
+
+void target_chooser::didFail(target_observation& seen, time_point now) const
+{
+    ++seen.failuresInRow;
+    if (seen.failuresInRow < m_settings.failuresToEject || seen.isEjected(now))
+        return;
+    auto const doublings = std::min(seen.ejections, mostEjectionDoublings);
+    seen.ejectedUntil = now + std::min(m_settings.firstEjection * (1 << doublings), m_settings.longestEjection);
+    ++seen.ejections;
+    // One failure more after the return is enough to eject again.
+    seen.failuresInRow = m_settings.failuresToEject - 1;
+}
+
+void target_chooser::setSnapshot(routing_snapshot const& snapshot, time_point now)
+{
+    std::map<std::string, target_observation> kept;
+    for (auto const& [name, service] : snapshot.services()) {
+        for (auto const& target : service.targets) {
+            auto const found = m_observations.find(target.id);
+            auto& seen = kept[target.id];
+            if (found != m_observations.end())
+                seen = found->second;
+            else
+                seen.knownSince = now;
+            seen.slowStart = service.configuration.slowStart;
+        }
+    }
+    // Attempts on a target that has left still end, so that its count stays until they have.
+    for (auto const& [id, seen] : m_observations) {
+        if (seen.outstanding > 0)
+            kept.try_emplace(id, seen);
+    }
+    m_observations = std::move(kept);
+}
+
+std::vector<std::string> target_chooser::ejected(time_point now) const
+{
+    std::vector<std::string> ids;
+    for (auto const& [id, seen] : m_observations) {
+        if (seen.isEjected(now))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+std::size_t target_chooser::outstanding(std::string const& target) const
+{
+    auto const found = m_observations.find(target);
+    return found == m_observations.end() ? 0 : found->second.outstanding;
+}
+
+target_chooser::candidates target_chooser::admissible(
+    service_route const& service, std::set<std::string> const& tried, time_point now) const
+{
+    candidates all;
+    for (auto const& target : service.targets)
+        all.push_back(&target);
+    auto inUse = withoutEjected(all, now);
+    auto const isUntried = [&](auto const* target) {
+        return !tried.contains(target->id);
+    };
+    // A target that was ejected is still better than none.
+    bool const hasUntried = std::any_of(inUse.begin(), inUse.end(), isUntried);
+    candidates untried;
+    auto const& source = hasUntried ? inUse : all;
+    std::copy_if(source.begin(), source.end(), std::back_inserter(untried), isUntried);
+    return untried;
+}
+
+// Leaves out ejected targets up to the greatest share; beyond it, those whose time ends soonest stay in use.
+target_chooser::candidates target_chooser::withoutEjected(candidates targets, time_point now) const
+{
+    auto const ejectionEnd = [&](route_target const* target) {
+        auto const found = m_observations.find(target->id);
+        return found != m_observations.end() && found->second.isEjected(now) ? found->second.ejectedUntil
+                                                                             : time_point {};
+    };
+    std::vector<time_point> ends;
+    for (auto const* target : targets) {
+        if (auto const end = ejectionEnd(target); end != time_point {})
+            ends.push_back(end);
+    }
+    if (ends.empty())
+        return targets;
+    auto const most = std::min<std::size_t>(
+        static_cast<std::size_t>(m_settings.maximumEjectedShare * targets.size()), targets.size() - 1);
+    std::sort(ends.rbegin(), ends.rend());
+    if (ends.size() > most)
+        ends.resize(most);
+    candidates inUse;
+    std::size_t left = ends.size();
+    for (auto const* target : targets) {
+        auto const end = ejectionEnd(target);
+        if (left > 0 && end != time_point {} && end >= ends.back()) {
+            --left;
+            continue;
+        }
+        inUse.push_back(target);
+    }
+    return inUse;
+}
+
+route_target const* target_chooser::lesserOfTwo(candidates const& targets, time_point now, generator& random) const
+{
+    if (targets.empty())
+        return nullptr;
+    if (targets.size() == 1)
+        return targets.front();
+    auto const first = uniformBelow(random, targets.size());
+    auto second = uniformBelow(random, targets.size() - 1);
+    if (second >= first)
+        ++second;
+    return score(*targets[second], now) < score(*targets[first], now) ? targets[second] : targets[first];
+}
+
+// Load that answers carried plus what this daemon has in flight, in thousandths of the slots. Both are needed: the
+// first is late, the second does not know of other daemons.
+std::uint64_t target_chooser::score(route_target const& target, time_point now) const
+{
+    auto const found = m_observations.find(target.id);
+    if (found == m_observations.end())
+        return 0;
+    auto const& seen = found->second;
+    double const warm = warmShare(seen, now);
+    double const slots = std::max<double>(1, target.slots * warm);
+    double total = seen.outstanding * 1000.0 / slots + (1 - warm) * coldPenaltyPermille;
+    if (seen.loadHeardAt && now - *seen.loadHeardAt < m_settings.loadLifetime)
+        total += seen.loadPermille;
+    return static_cast<std::uint64_t>(total);
+}
+
+} // namespace merlinpier
--- a/Libraries/LibRouting/target_chooser.h
+++ b/Libraries/LibRouting/target_chooser.h
@@ -3,10 +3,12 @@
 #include <LibCore/generator.h>
 #include <LibCore/time.h>
 #include <LibRouting/routing_snapshot.h>
+#include <LibRouting/target_observation.h>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace merlinpier {
 
@@ -28,6 +30,10 @@
     milliseconds loadLifetime { 2000 };
 };
 
+// How closely a keyed call holds to the first target of its rendezvous order. Strict takes it whatever its load and
+// failures, so that a repeat meets the ledger that knows the key; WhereLoadAllows passes over loaded and ejected ones.
+enum class key_affinity { Strict, WhereLoadAllows };
+
 // What a finished attempt shows about its target.
 enum class attempt_outcome { Answered, Refused, Unreachable, Lost };
 
@@ -37,10 +43,14 @@
 public:
     explicit target_chooser(chooser_settings);
 
-    // Chooses among the service's targets less those already tried; nothing if none is left. With a key, the same
-    // target for the same key while load allows (rendezvous hash).
+    // Chooses among the service's targets less those already tried; nothing if none is left. Own zone first, then by
+    // the lesser load of two taken at random (power of two choices, Mitzenmacher 2001).
     std::optional<route_target> choose(
-        service_route const&, std::set<std::string> const& tried, std::string const& key, time_point now, generator&);
+        service_route const&, std::set<std::string> const& tried, time_point now, generator&) const;
+    // Chooses the same target for the same key at every daemon: the first of its order by rendezvous hash (Thaler and
+    // Ravishankar 1998) over the targets of all zones.
+    std::optional<route_target> chooseForKey(service_route const&, std::set<std::string> const& tried,
+        std::string const& key, key_affinity, time_point now) const;
     void didSend(std::string const& target, time_point now);
     // An attempt has ended; load in thousandths of the slots, if its answer carried it.
     void didEnd(std::string const& target, attempt_outcome, std::optional<std::uint32_t> loadPermille, time_point now);
@@ -50,9 +60,16 @@
     std::size_t outstanding(std::string const& target) const;
 
 private:
-    struct observation;
+    using candidates = std::vector<route_target const*>;
+
+    candidates admissible(service_route const&, std::set<std::string> const& tried, time_point now) const;
+    candidates withoutEjected(candidates, time_point now) const;
+    route_target const* lesserOfTwo(candidates const&, time_point now, generator&) const;
+    std::uint64_t score(route_target const&, time_point now) const;
+    void didFail(target_observation&, time_point now) const;
+
     chooser_settings m_settings;
-    std::map<std::string, std::shared_ptr<observation>> m_observations;
+    std::map<std::string, target_observation> m_observations;
 };
 
 } // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibRouting/target_observation.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibCore/time.h>
+#include <LibRouting/routing_snapshot.h>
+#include <cstdint>
+#include <optional>
+
+namespace merlinpier {
+
+// What this daemon has seen of one target by its own calls.
+struct target_observation {
+    // Attempts sent and not ended.
+    std::size_t outstanding { 0 };
+    // Load carried by the last answer or refusal, in thousandths of the slots, and when it was heard.
+    std::uint32_t loadPermille { 0 };
+    std::optional<time_point> loadHeardAt;
+    std::uint32_t failuresInRow { 0 };
+    // How often in a row the target was ejected; each time lasts twice as long as the last.
+    std::uint32_t ejections { 0 };
+    time_point ejectedUntil {};
+    // When a snapshot named the target first; it starts slowly from then on.
+    time_point knownSince {};
+    duration slowStart { 0 };
+
+    bool isEjected(time_point now) const { return now < ejectedUntil; }
+};
+
+} // namespace merlinpier
