LibHttp: Serve and send whole requests over libmicrohttpd and libcurl

Cause: the daemon, the stand-ins and the load tool need one HTTP server and one HTTP client that say for certain what became of a request. libmicrohttpd does not look at the socket of a suspended connection, so an epoll set beside it finds callers who have gone; polling by a dummy read was ruled out, for it needs a thread or a timer a request. A failed request counts as Unavailable only if libcurl wrote none of it to a socket, repeats included; the error code alone was ruled out, for a repeat that cannot connect reports just that.

--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -23,18 +23,22 @@
     milliseconds timeout { 5000 };
     milliseconds connectTimeout { 1000 };
     connection_reuse reuse { connection_reuse::Allowed };
+    // A longer answer is cut off and reported as OutcomeUnknown.
+    std::size_t maximumBodyBytes { 16 * 1024 * 1024 };
 };
 
 using http_exchange_id = std::uint64_t;
 
-// Receives the whole answer, or Unavailable if no byte of the request can have been read by the other side,
-// or OutcomeUnknown if the request may have been acted upon (time-out included).
+// Receives the whole answer; or BadInput if the request cannot be sent as it stands; or Unavailable if no byte of the
+// request can have been read by the other side; or OutcomeUnknown if the request may have been acted upon (timeout
+// included). An answer whose end cannot be told from a lost connection counts as OutcomeUnknown.
 using http_callback = std::function<void(result<http_response>)>;
 
 // Sends HTTP requests by libcurl on one thread. Callbacks come from that thread and must not block.
 class http_client {
 public:
     static std::unique_ptr<http_client> create();
+    // Ends every exchange under way as cancel() does; must not run in a callback.
     virtual ~http_client() = default;
     virtual http_exchange_id send(http_client_request, http_callback) = 0;
     // Closes the connection of an exchange; its callback gets OutcomeUnknown.
--- /dev/null
+++ b/Libraries/LibHttp/http_exchange.cpp
@@ -0,0 +1,118 @@
+#include <LibHttp/http_exchange.h>
+
+#include <microhttpd.h>
+
+namespace merlinpier {
+
+namespace {
+
+MHD_Result addField(void* fields, MHD_ValueKind, char const* name, size_t nameSize, char const* value, size_t valueSize)
+{
+    http_field field { std::string(name, nameSize), value == nullptr ? "" : std::string(value, valueSize) };
+    static_cast<std::vector<http_field>*>(fields)->push_back(std::move(field));
+    return MHD_YES;
+}
+
+} // namespace
+
+http_exchange::http_exchange(MHD_Connection* connection, disconnect_watcher& watcher, std::string_view uri)
+    : m_connection(connection)
+    , m_watcher(watcher)
+{
+    m_request.path = std::string(uri.substr(0, uri.find('?')));
+    auto const* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info != nullptr)
+        m_socket = info->connect_fd;
+}
+
+void http_exchange::readHeaders(char const* method)
+{
+    m_hasHeaders = true;
+    m_request.method = method;
+    MHD_get_connection_values_n(m_connection, MHD_GET_ARGUMENT_KIND, addField, &m_request.query);
+    MHD_get_connection_values_n(m_connection, MHD_HEADER_KIND, addField, &m_request.headers);
+}
+
+void http_exchange::appendBody(std::string_view part, std::size_t limit)
+{
+    m_receivedBytes += part.size();
+    if (m_receivedBytes > limit) {
+        m_isTooLarge = true;
+        m_request.body.clear();
+        return;
+    }
+    m_request.body.append(part);
+}
+
+http_request http_exchange::takeRequest()
+{
+    m_isDispatched = true;
+    return std::move(m_request);
+}
+
+std::optional<http_response> http_exchange::takeResponseOrSuspend(bool& isEnded)
+{
+    mutex_lock lock(m_mutex);
+    isEnded = m_isEnded;
+    if (m_isAnswered || m_isEnded)
+        return std::move(m_response);
+    m_isSuspended = true;
+    MHD_suspend_connection(m_connection);
+    m_watch = m_watcher.add(m_socket, [self = weak_from_this()] {
+        if (auto const exchange = self.lock())
+            exchange->didDisconnect();
+    });
+    return std::nullopt;
+}
+
+void http_exchange::resume()
+{
+    if (!m_isSuspended)
+        return;
+    m_isSuspended = false;
+    m_watcher.remove(m_watch, m_socket);
+    MHD_resume_connection(m_connection);
+}
+
+void http_exchange::respond(http_response response)
+{
+    mutex_lock lock(m_mutex);
+    if (m_isAnswered || m_isEnded)
+        return;
+    m_isAnswered = true;
+    m_response = std::move(response);
+    m_disconnectHandler = nullptr;
+    resume();
+}
+
+void http_exchange::setDisconnectHandler(std::function<void()> handler)
+{
+    {
+        mutex_lock lock(m_mutex);
+        if (!m_isEnded) {
+            if (!m_isAnswered)
+                m_disconnectHandler = std::move(handler);
+            return;
+        }
+    }
+    handler();
+}
+
+void http_exchange::didDisconnect()
+{
+    std::function<void()> handler;
+    {
+        mutex_lock lock(m_mutex);
+        if (m_isAnswered || m_isEnded)
+            return;
+        m_isEnded = true;
+        handler = std::move(m_disconnectHandler);
+        resume();
+    }
+    if (handler)
+        handler();
+}
+
+void http_exchange::didComplete() { didDisconnect(); }
+
+} // namespace merlinpier
--- a/Libraries/LibHttp/http_message.h
+++ b/Libraries/LibHttp/http_message.h
@@ -44,6 +44,13 @@
     std::optional<std::string> header(std::string_view name) const;
 };
 
+// Says whether a header concerns one connection alone (RFC 9110, section 7.6.1) or the length of the body. Server and
+// client write these themselves and never pass them on.
+bool isConnectionHeader(std::string_view name);
+
+// Writes every byte other than an unreserved character (RFC 3986) as %XX.
+std::string percentEncode(std::string_view);
+
 // Builds an answer with a JSON body.
 http_response jsonResponse(int status, std::string body);
 
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/result.h>
+#include <LibCore/time.h>
 #include <LibHttp/http_message.h>
 #include <cstdint>
 #include <functional>
