LibPlatform: Reach the platform's objects by HTTP or in memory

Cause: commits, relays and status objects need the platform's store, and tests need one that fails on request. The memory store answers on the calling thread when it need not wait.

--- a/Libraries/LibHttp/http_exchange.cpp
+++ b/Libraries/LibHttp/http_exchange.cpp
@@ -85,6 +85,16 @@
     resume();
 }
 
+void http_exchange::closeWithoutAnswer()
+{
+    mutex_lock lock(m_mutex);
+    if (m_isAnswered || m_isEnded)
+        return;
+    m_isEnded = true;
+    m_disconnectHandler = nullptr;
+    resume();
+}
+
 void http_exchange::setDisconnectHandler(std::function<void()> handler)
 {
     {
--- a/Libraries/LibHttp/http_exchange.h
+++ b/Libraries/LibHttp/http_exchange.h
@@ -33,6 +33,7 @@
 
     // ^http_responder
     void respond(http_response) override;
+    void closeWithoutAnswer() override;
     void setDisconnectHandler(std::function<void()>) override;
 
 private:
--- a/Libraries/LibHttp/http_message.cpp
+++ b/Libraries/LibHttp/http_message.cpp
@@ -34,6 +34,17 @@
     return std::isalnum(byte) != 0 || character == '-' || character == '.' || character == '_' || character == '~';
 }
 
+int hexadecimalValue(char digit)
+{
+    if (digit >= '0' && digit <= '9')
+        return digit - '0';
+    if (digit >= 'a' && digit <= 'f')
+        return digit - 'a' + 10;
+    if (digit >= 'A' && digit <= 'F')
+        return digit - 'A' + 10;
+    return -1;
+}
+
 } // namespace
 
 std::optional<std::string> http_request::header(std::string_view name) const { return firstHeader(headers, name); }
@@ -78,6 +89,24 @@
     return encoded;
 }
 
+std::optional<std::string> percentDecode(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] != '%') {
+            decoded += text[i];
+            continue;
+        }
+        int const high = i + 2 < text.size() ? hexadecimalValue(text[i + 1]) : -1;
+        int const low = i + 2 < text.size() ? hexadecimalValue(text[i + 2]) : -1;
+        if (high < 0 || low < 0)
+            return std::nullopt;
+        decoded += static_cast<char>(high * 16 + low);
+        i += 2;
+    }
+    return decoded;
+}
+
 http_response jsonResponse(int status, std::string body)
 {
     return http_response { status, { { "Content-Type", "application/json" } }, std::move(body) };
--- a/Libraries/LibHttp/http_message.h
+++ b/Libraries/LibHttp/http_message.h
@@ -51,6 +51,9 @@
 // Writes every byte other than an unreserved character (RFC 3986) as %XX.
 std::string percentEncode(std::string_view);
 
+// Undoes percentEncode; yields nothing if a percent sign is not followed by two hexadecimal digits.
+std::optional<std::string> percentDecode(std::string_view);
+
 // Builds an answer with a JSON body.
 http_response jsonResponse(int status, std::string body);
 
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -14,6 +14,8 @@
 public:
     virtual ~http_responder() = default;
     virtual void respond(http_response) = 0;
+    // Closes the connection without any answer, as a process that dies does.
+    virtual void closeWithoutAnswer() = 0;
     // Calls back when the connection ends before the answer was given; at once if it has ended already.
     virtual void setDisconnectHandler(std::function<void()>) = 0;
 };
--- /dev/null
+++ b/Libraries/LibPlatform/http_object_store.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <LibHttp/http_client.h>
+#include <LibPlatform/object_store.h>
+
+namespace merlinpier {
+
+// The platform's object API over HTTP (docs/design/interfaces.md). Callbacks come from the thread of the HTTP client,
+// which must outlive the store and all callbacks.
+class http_object_store final : public object_store {
+public:
+    // The address is "IP:PORT". An operation other than a watch fails after the timeout.
+    http_object_store(http_client&, std::string const& address, milliseconds timeout = milliseconds(3000));
+
+    // ^object_store
+    void read(std::string const& key, read_callback) override;
+    void write(std::string const& key, std::string value, write_condition, write_callback) override;
+    void list(std::string const& prefix, list_callback) override;
+    void watch(std::string const& key, std::uint64_t afterRevision, duration wait, read_callback) override;
+
+private:
+    void sendRead(std::string const& pathWithQuery, milliseconds timeout, read_callback);
+
+    http_client& m_client;
+    std::string const m_base;
+    milliseconds const m_timeout;
+};
+
+} // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibPlatform/memory_object_store.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <LibCore/mutex.h>
+#include <LibCore/timer_service.h>
+#include <LibPlatform/object_store.h>
+#include <map>
+
+namespace merlinpier {
+
+// What a memory_object_store does wrong.
+enum class store_fault_mode {
+    None,
+    // Every operation fails with Unavailable and has no effect; waiting watches end in the same way.
+    Down,
+    // Every operation takes effect, and is answered, after the delay.
+    Slow,
+    // Writes take effect at once and yield OutcomeUnknown.
+    LoseAnswers,
+};
+
+// A fault to inject.
+struct store_fault {
+    store_fault_mode mode { store_fault_mode::None };
+    // For Slow.
+    duration delay { 0 };
+
+    bool operator==(store_fault const&) const = default;
+};
+
+// An object store in the memory of the process, for tests and for the stand-in of the platform. Any thread may call. An
+// operation that need not wait calls back before it returns, on the calling thread and with no lock held.
+class memory_object_store final : public object_store {
+public:
+    memory_object_store() = default;
+
+    void setFault(store_fault);
+
+    // ^object_store
+    void read(std::string const& key, read_callback) override;
+    void write(std::string const& key, std::string value, write_condition, write_callback) override;
+    void list(std::string const& prefix, list_callback) override;
+    void watch(std::string const& key, std::uint64_t afterRevision, duration wait, read_callback) override;
+
+private:
+    struct waiting_watch {
+        std::string key;
+        std::uint64_t afterRevision { 0 };
+        timer_id expiry { 0 };
+        read_callback callback;
+    };
+    using watch_id = std::uint64_t;
+
+    store_fault currentFault() const;
+    void afterDelay(store_fault const&, std::function<void()>);
+    std::optional<stored_object> find(std::string const& key) const;
+    result<stored_object> apply(std::string const& key, std::string value, write_condition const&);
+    void startWatch(std::string const& key, std::uint64_t afterRevision, duration wait, read_callback);
+    void expireWatch(watch_id);
+    void answerWatches(stored_object const&);
+    void failWatches();
+
+    mutable mutex m_mutex { lock_rank::Platform };
+    std::map<std::string, stored_object> m_objects ABSL_GUARDED_BY(m_mutex);
+    std::map<watch_id, waiting_watch> m_watches ABSL_GUARDED_BY(m_mutex);
+    std::uint64_t m_lastRevision ABSL_GUARDED_BY(m_mutex) { 0 };
+    watch_id m_nextWatchId ABSL_GUARDED_BY(m_mutex) { 1 };
+    store_fault m_fault ABSL_GUARDED_BY(m_mutex);
+    // Last, so that its thread has ended before what it calls is destroyed.
+    timer_service m_timers;
+};
+
+} // namespace merlinpier
