--- a/Services/Daemon/call_gateway.cpp
+++ b/Services/Daemon/call_gateway.cpp
@@ -19,10 +19,7 @@
     completions done;
     {
         mutex_lock lock(m_mutex);
-        bool const isRepeat = m_callers.contains(id);
         m_callers.emplace(id, waiting_caller { responder, currentTime() });
-        if (isRepeat)
-            return;
         done = carryOut(m_client.start(std::move(request), currentTime(), m_generator));
     }
     if (done.empty())
@@ -128,7 +125,8 @@
         } else if (auto const* back = std::get_if<take_back_call>(&action)) {
             m_hub.dropWaiting(back->address, back->id);
         } else if (auto* finished = std::get_if<complete_call>(&action)) {
-            done.push_back(std::move(*finished));
+            auto callers = takeCallers(finished->id);
+            done.push_back({ std::move(*finished), std::move(callers) });
         }
     }
     return done;
@@ -144,20 +142,22 @@
 
 void call_gateway::answer(completions const& done)
 {
-    for (auto const& finished : done) {
-        std::vector<waiting_caller> callers;
-        {
-            mutex_lock lock(m_mutex);
-            auto const [first, last] = m_callers.equal_range(finished.id);
-            for (auto it = first; it != last; ++it)
-                callers.push_back(it->second);
-            m_callers.erase(first, last);
-        }
+    for (auto const& [finished, callers] : done) {
         for (auto const& caller : callers)
             answerOne(finished, caller);
     }
 }
 
+std::vector<call_gateway::waiting_caller> call_gateway::takeCallers(std::string const& id)
+{
+    std::vector<waiting_caller> callers;
+    auto const [first, last] = m_callers.equal_range(id);
+    for (auto it = first; it != last; ++it)
+        callers.push_back(it->second);
+    m_callers.erase(first, last);
+    return callers;
+}
+
 void call_gateway::answerOne(complete_call const& finished, waiting_caller const& caller)
 {
     auto const spent = std::chrono::duration<double, std::milli>(currentTime() - caller.startedAt);
--- a/Services/Daemon/call_gateway.h
+++ b/Services/Daemon/call_gateway.h
@@ -37,10 +37,16 @@
         std::shared_ptr<http_responder> responder;
         time_point startedAt;
     };
-    using completions = std::vector<complete_call>;
+    // A call that has its final outcome, and everybody who waits for it.
+    struct completion {
+        complete_call finished;
+        std::vector<waiting_caller> callers;
+    };
+    using completions = std::vector<completion>;
 
     completions carryOut(std::vector<client_action>) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void dispatch(std::string const& address, call_request) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    std::vector<waiting_caller> takeCallers(std::string const& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void answer(completions const&);
     void answerOne(complete_call const&, waiting_caller const&);
     void cancel(std::string const& id);
@@ -51,7 +57,7 @@
     call_client m_client ABSL_GUARDED_BY(m_mutex);
     generator m_generator ABSL_GUARDED_BY(m_mutex);
     std::shared_ptr<routing_snapshot const> m_snapshot ABSL_GUARDED_BY(m_mutex);
-    // A repeat with the same Idempotency-Key waits for the same call.
+    // A repeat with the same Idempotency-Key joins the same call.
     std::multimap<std::string, waiting_caller> m_callers ABSL_GUARDED_BY(m_mutex);
 };
 
--- a/Services/Daemon/peer_hub.cpp
+++ b/Services/Daemon/peer_hub.cpp
@@ -78,6 +78,7 @@
         }
         if (auto const link = m_controlLinks.current(address)) {
             sendControlOn(link->connection, std::move(frame));
+            m_controlLinks.didSend(address, currentTime());
             return;
         }
         auto& waiting = m_waitingControl[address];
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -126,7 +126,7 @@
 void target_gateway::raiseFence(std::uint64_t instance, std::uint64_t generation)
 {
     mutex_lock lock(m_mutex);
-    m_server.raiseFence({ instance, generation });
+    m_server.raiseFence({ instance, generation }, currentTime());
 }
 
 void target_gateway::didReceive(std::uint64_t instance, std::uint64_t generation, message const& content)
