LibDistribution: Bring versions from the platform and from peers

Cause: accepted versions have to reach every daemon whatever fails, at a platform cost that does not grow with daemons. Ruled out: pushing whole fragments to relays of other zones, which read the platform themselves as a rule; they are told the number and ask if they must.

--- /dev/null
+++ b/Libraries/LibDistribution/distribution_settings.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibCore/time.h>
+#include <cstdint>
+
+namespace merlinpier {
+
+// How relays hand a version on. Push sends the changed fragments at once: fewest milliseconds. Announce sends number
+// and digest, and the receiver asks for what it lacks: fewest bytes when versions reach a daemon twice. Baseline makes
+// every daemon watch the platform and read the whole configuration itself; it is kept to measure against.
+enum class distribution_mode { Push, Announce, Baseline };
+
+struct distribution_settings {
+    distribution_mode mode { distribution_mode::Push };
+    // How long one watch on the head waits.
+    milliseconds watchTime { 20000 };
+    milliseconds firstBackOff { 100 };
+    milliseconds longestBackOff { 5000 };
+    // A request to a peer that is not answered in this time is sent to another.
+    milliseconds requestTimeout { 1000 };
+    // Platform calls that this daemon may make, a minute.
+    std::uint32_t platformCallsPerMinute { 60 };
+};
+
+} // namespace merlinpier
--- a/Libraries/LibDistribution/distributor.h
+++ b/Libraries/LibDistribution/distributor.h
@@ -4,6 +4,10 @@
 #include <LibConfiguration/version_store.h>
 #include <LibCore/generator.h>
 #include <LibCore/time.h>
+#include <LibDistribution/distribution_settings.h>
+#include <LibDistribution/peer_requests.h>
+#include <LibDistribution/platform_calls.h>
+#include <LibDistribution/version_assembly.h>
 #include <LibMembership/member.h>
 #include <LibPlatform/object_store.h>
 #include <memory>
@@ -13,40 +17,12 @@
 
 namespace merlinpier {
 
-// How relays hand a version on. Push sends the changed fragments at once: fewest milliseconds. Announce sends number
-// and digest, and the receiver asks for what it lacks: fewest bytes when versions reach a daemon twice. Baseline makes
-// every daemon watch the platform and read the whole configuration itself; it is kept to measure against.
-enum class distribution_mode { Push, Announce, Baseline };
-
-struct distribution_settings {
-    distribution_mode mode { distribution_mode::Push };
-    // How long one watch on the head waits.
-    milliseconds watchTime { 20000 };
-    milliseconds firstBackOff { 100 };
-    milliseconds longestBackOff { 5000 };
-    // A request to a peer that is not answered in this time is sent to another.
-    milliseconds requestTimeout { 1000 };
-    // Platform calls that this daemon may make, a minute.
-    std::uint32_t platformCallsPerMinute { 60 };
-};
-
-// Asks the owner to read a platform object and to report by didReadPlatform().
-struct read_platform {
-    std::string key;
-    bool operator==(read_platform const&) const = default;
-};
-// Asks the owner to watch the head and to report by didWatchPlatform().
-struct watch_platform {
-    std::uint64_t afterRevision { 0 };
-    duration wait { 0 };
-    bool operator==(watch_platform const&) const = default;
-};
 // A new set has been applied to the version store; the owner builds its routing snapshot.
 struct version_applied {
     std::shared_ptr<configuration_set const> set;
     bool operator==(version_applied const&) const = default;
 };
-// A version could not be taken; the applied one stays.
+// A version could not be taken; the applied one stays. The number is 0 if the platform's head cannot be read.
 struct version_refused {
     version_number version { 0 };
     error reason;
@@ -74,7 +50,7 @@
     version_store const& store() const { return m_store; }
     version_number highestKnown() const { return m_highestKnown; }
     // Since when the platform has not answered; nothing while it does or when this daemon does not watch it.
-    std::optional<time_point> platformSilentSince() const { return m_platformSilentSince; }
+    std::optional<time_point> platformSilentSince() const { return m_calls.silentSince(); }
 
     void setPeers(distribution_peers);
     // A version of the own VM's earlier life, learnt from peers' records.
@@ -90,12 +66,44 @@
         result<std::optional<stored_object>> const&, time_point now, generator&);
 
 private:
+    using actions = std::vector<distribution_action>;
+
+    bool watches() const { return m_peers.isRelay || m_settings.mode == distribution_mode::Baseline; }
+    // Whether a version is worth having: above the applied one, not refused before, and not below the floor.
+    bool isWanted(version_number) const;
+    // The highest version known that is worth having, 0 for none.
+    version_number wantedVersion() const;
+    bool isReadingPlatform() const;
+
+    void continueWatch(actions&, time_point now);
+    void continueReads(actions&, time_point now);
+    void continueRequests(actions&, time_point now);
+    void didSeeHead(actions&, stored_object const&, time_point now);
+    void didReadObject(std::string const& key, std::string const& content, time_point now, generator&);
+
+    void didReceive(actions&, std::string const& from, version_announce const&, time_point now);
+    void didReceive(actions&, std::string const& from, configuration_request const&) const;
+    void didReceive(actions&, std::string const& from, configuration_answer const&, time_point now);
+
+    // Starts to assemble a version, with the fragments that are there.
+    version_assembly assemble(version_number) const;
+    // Applies a complete version, or refuses it whole.
+    void finish(actions&, version_assembly const&, std::string const& fromAddress, time_point now);
+    void didFailPlatformCall(error const&, time_point now, generator&);
+    void handOn(actions&, configuration_set const& previous, std::string const& fromAddress);
+    void hear(std::string const& address, version_number);
+
     distribution_settings m_settings;
     version_store m_store;
     version_number m_highestKnown { 0 };
-    std::optional<time_point> m_platformSilentSince;
     distribution_peers m_peers;
-    std::shared_ptr<struct distributor_internals> m_internals;
+    platform_calls m_calls;
+    peer_requests m_requests;
+    std::optional<version_assembly> m_assembly;
+    // When the assembly began, to turn to peers if the platform takes long.
+    time_point m_assemblySince {};
+    configuration_head m_head;
+    std::uint64_t m_headRevision { 0 };
 };
 
 } // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibDistribution/version_assembly.cpp
@@ -0,0 +1,91 @@
+#include <LibDistribution/version_assembly.h>
+
+#include <LibCore/digest.h>
+#include <set>
+#include <utility>
+
+namespace merlinpier {
+
+namespace {
+
+// Fragments kept at most while their manifest has not arrived; above any set that validation accepts.
+constexpr std::size_t maximumArrived = 512;
+
+} // namespace
+
+version_assembly::version_assembly(version_number version, std::shared_ptr<configuration_set const> applied)
+    : m_version(version)
+{
+    rebase(std::move(applied));
+}
+
+void version_assembly::rebase(std::shared_ptr<configuration_set const> applied)
+{
+    m_applied.clear();
+    for (auto& fragment : applied->fragmentsWithout({}))
+        m_applied.emplace(fragment.digest, std::move(fragment));
+}
+
+result<empty> version_assembly::setManifest(std::string const& content)
+{
+    auto parsed = TRY(parseManifest(content));
+    if (parsed.version != m_version) {
+        return error { error_kind::Corrupt,
+            "a manifest sent as version " + std::to_string(m_version) + " names version "
+                + std::to_string(parsed.version),
+            "fetch the version again from another peer or from the platform" };
+    }
+    m_manifest = std::move(parsed);
+    return empty {};
+}
+
+void version_assembly::addFragment(wire_fragment const& fragment)
+{
+    if (m_arrived.size() < maximumArrived && contentDigest(fragment.content) == fragment.digest)
+        m_arrived.emplace(fragment.digest, fragment);
+}
+
+void version_assembly::inherit(version_assembly const& earlier)
+{
+    for (auto const& [digest, fragment] : earlier.m_arrived)
+        m_arrived.emplace(digest, fragment);
+}
+
+std::vector<std::string> version_assembly::missing() const
+{
+    std::vector<std::string> digests;
+    if (!m_manifest)
+        return digests;
+    for (auto const& entry : m_manifest->entries) {
+        if (!m_applied.contains(entry.digest) && !m_arrived.contains(entry.digest))
+            digests.push_back(entry.digest);
+    }
+    return digests;
+}
+
+std::vector<std::string> version_assembly::known() const
+{
+    std::set<std::string> digests;
+    for (auto const& [digest, fragment] : m_applied)
+        digests.insert(digest);
+    for (auto const& [digest, fragment] : m_arrived)
+        digests.insert(digest);
+    return { digests.begin(), digests.end() };
+}
+
+result<std::shared_ptr<configuration_set const>> version_assembly::finish() const
+{
+    std::vector<wire_fragment> fragments;
+    for (auto const& entry : m_manifest->entries) {
+        auto const arrived = m_arrived.find(entry.digest);
+        if (arrived != m_arrived.end()) {
+            fragments.push_back(arrived->second);
+            continue;
+        }
+        if (auto const applied = m_applied.find(entry.digest); applied != m_applied.end())
+            fragments.push_back(applied->second);
+    }
+    return configuration_set::tryCreate(*m_manifest, fragments);
+}
+
+} // namespace merlinpier
