LibMembership: Test merging, relays, silence and rejoining

Cause: the membership's decisions were in place without tests. Ruled out: a simulator of clusters; a queue of messages that are delayed, lost, repeated and reordered drives a few members. Change: the tests; and records are reviewed ten times a second instead of at each tick.

--- a/Libraries/LibMembership/join_schedule.cpp
+++ b/Libraries/LibMembership/join_schedule.cpp
@@ -54,14 +54,18 @@
     m_attempts = 0;
 }
 
-std::optional<std::string> join_schedule::nextStranger(
-    std::vector<std::string> const& known, time_point now, generator& source)
+bool join_schedule::isStrangerDue(time_point now, generator& source)
 {
     if (!m_nextStranger)
         m_nextStranger = now + upTo(strangerPeriod, source);
     if (now < *m_nextStranger)
-        return {};
+        return false;
     m_nextStranger = now + strangerPeriod / 2 + upTo(strangerPeriod, source);
+    return true;
+}
+
+std::optional<std::string> join_schedule::nextStranger(std::vector<std::string> const& known)
+{
     for (std::size_t i = 0; i < m_seeds.size(); ++i) {
         auto const& seed = m_seeds[m_nextSeed++ % m_seeds.size()];
         if (std::find(known.begin(), known.end(), seed) == known.end())
--- a/Libraries/LibMembership/join_schedule.h
+++ b/Libraries/LibMembership/join_schedule.h
@@ -24,8 +24,10 @@
     std::optional<std::string> nextAttempt(time_point now, generator&);
     // Now in contact: starts afresh the next time that contact is lost.
     void didJoin();
-    // The first seed in turn that is not among the known addresses, now and then: finds members that grew apart.
-    std::optional<std::string> nextStranger(std::vector<std::string> const& known, time_point now, generator&);
+    // Whether it is time, while in contact, to look for members that grew apart; true once in a period.
+    bool isStrangerDue(time_point now, generator&);
+    // The first seed in turn that is not among the known addresses.
+    std::optional<std::string> nextStranger(std::vector<std::string> const& known);
 
 private:
     std::string m_ownAddress;
--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -9,6 +9,8 @@
 
 // A peer that leaves a heartbeat unanswered for this many periods is not answering.
 constexpr int unansweredPeriods = 2;
+// How often what needs a look at every record is reviewed.
+constexpr milliseconds reviewPeriod { 100 };
 // How many records one message holds at most.
 constexpr std::size_t recordsPerUpdate = 128;
 // A daemon that finds nobody by its seeds for this many suspicion timeouts begins to relay for itself.
@@ -65,13 +67,16 @@
     if (!m_startedAt)
         m_startedAt = now;
     actions actions;
-    m_peers.expire(now, m_settings.goneRetention);
-    m_peers.avoidUnanswering(now, m_settings.heartbeatPeriod * unansweredPeriods);
-    m_table.expire(now, m_settings.goneRetention);
-    refreshRanking();
+    if (now >= m_nextReview) {
+        m_nextReview = now + reviewPeriod;
+        m_peers.expire(now, m_settings.goneRetention);
+        m_peers.avoidUnanswering(now, m_settings.heartbeatPeriod * unansweredPeriods);
+        m_table.expire(now, m_settings.goneRetention);
+        refreshRanking();
+        judgeSilence(actions, now);
+    }
     join(actions, now, source);
     sendHeartbeats(actions, now, source);
-    judgeSilence(actions, now);
     flush(actions, now);
     return actions;
 }
@@ -84,12 +89,14 @@
         return;
     }
     m_joins.didJoin();
+    if (!m_joins.isStrangerDue(now, source))
+        return;
     std::vector<std::string> known;
     for (auto const& [zone, members] : m_ranking) {
         for (auto const& member : members)
             known.push_back(member.address);
     }
-    if (auto seed = m_joins.nextStranger(known, now, source))
+    if (auto seed = m_joins.nextStranger(known))
         introduce(actions, *seed);
 }
 
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -137,6 +137,7 @@
     bool m_hasJoined { false };
     std::optional<time_point> m_startedAt;
     time_point m_now {};
+    time_point m_nextReview {};
     time_point m_digestWindow {};
     std::size_t m_digestsAnswered { 0 };
 };
--- /dev/null
+++ b/Tests/LibMembership/fleet.cpp
@@ -0,0 +1,90 @@
+#include "fleet.h"
+
+namespace merlinpier {
+
+member& fleet::start(std::string const& zone, int number, std::vector<std::string> seeds)
+{
+    auto chosen = settings;
+    chosen.vm = zone + "-" + std::to_string(number);
+    chosen.zone = zone;
+    chosen.address = chosen.vm;
+    chosen.httpAddress = chosen.vm;
+    chosen.seeds = std::move(seeds);
+    auto& place = m_members[chosen.vm];
+    place = std::make_unique<member>(chosen, m_source());
+    return *place;
+}
+
+void fleet::run(duration time)
+{
+    for (auto const end = now + time; now < end; now += step) {
+        deliverDue();
+        for (auto const& [vm, member] : m_members) {
+            if (!m_paused.contains(vm))
+                perform(vm, member->tick(now, m_source));
+        }
+    }
+}
+
+void fleet::perform(std::string const& vm, std::vector<membership_action> const& actions)
+{
+    for (auto const& action : actions) {
+        auto const* send = std::get_if<send_message>(&action);
+        if (!send)
+            continue;
+        ++messages;
+        auto const size = frameSize(send->content);
+        bytesSent[vm] += size;
+        bytesReceived[send->address] += size;
+        if (isCut(vm, send->address) || uniformUnit(m_source) < lossShare)
+            continue;
+        for (int copies = uniformUnit(m_source) < repeatShare ? 2 : 1; copies > 0; --copies) {
+            auto const delay = microseconds(uniformBelow(m_source, 1 + microseconds(longestDelay).count()));
+            m_underway.emplace(now + delay, delivery { vm, send->address, send->content });
+        }
+    }
+}
+
+void fleet::deliverDue()
+{
+    while (!m_underway.empty() && m_underway.begin()->first <= now) {
+        auto const delivery = std::move(m_underway.begin()->second);
+        m_underway.erase(m_underway.begin());
+        auto const receiver = m_members.find(delivery.to);
+        if (receiver == m_members.end() || m_paused.contains(delivery.to))
+            continue;
+        perform(delivery.to, receiver->second->didReceive(delivery.from, delivery.content, now, m_source));
+    }
+}
+
+bool fleet::haveConverged() const
+{
+    auto const& first = m_members.begin()->second->table();
+    for (auto const& [vm, member] : m_members) {
+        if (member->table().digest() != first.digest() || member->table().records() != first.records())
+            return false;
+    }
+    return true;
+}
+
+std::size_t frameSize(message const& content)
+{
+    if (auto const* update = std::get_if<membership_update>(&content)) {
+        std::size_t size = 40;
+        for (auto const& record : update->records) {
+            size += 40 + 8 + record.vm.size();
+            if (record.incarnation == 0)
+                continue;
+            size += 48 + record.zone.size() + record.address.size() + record.httpAddress.size()
+                + record.refusedReason.size();
+            for (auto const& target : record.targets)
+                size += 56 + target.id.size() + target.service.size() + target.licence.size();
+        }
+        return size;
+    }
+    if (auto const* digest = std::get_if<membership_digest>(&content))
+        return 40 + 8 * digest->buckets.size();
+    return 110;
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Tests/LibMembership/member_test.cpp
@@ -0,0 +1,279 @@
+#include "fleet.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr seconds settleTime { 20 };
+
+// Three zones, named a, b and c, with the same number of VMs each, that join by one VM of each zone.
+void startZones(fleet& fleet, int perZone)
+{
+    for (auto const* zone : { "a", "b", "c" }) {
+        for (int i = 0; i < perZone; ++i)
+            fleet.start(zone, i, { "a-0", "b-0", "c-0" });
+    }
+}
+
+std::vector<target_record> oneTarget(target_state state)
+{
+    return { target_record { "t", "slots", "licence", 1, state, 6 } };
+}
+
+bool isInZone(std::string const& vm, char zone) { return vm[0] == zone; }
+
+member_state stateSeen(fleet& fleet, std::string const& by, std::string const& of)
+{
+    return fleet.at(by).table().find(of)->state;
+}
+
+std::size_t countRelays(fleet const& fleet)
+{
+    std::size_t count = 0;
+    for (auto const& [vm, member] : fleet.members())
+        count += member->isRelay();
+    return count;
+}
+
+} // namespace
+
+TEST(Member, FindsEverybodyAndAgreesOnTwoRelaysAZone)
+{
+    fleet fleet(1);
+    startZones(fleet, 4);
+    fleet.run(settleTime);
+    EXPECT_TRUE(fleet.haveConverged());
+    EXPECT_EQ(fleet.at("a-0").table().records().size(), 12u);
+    EXPECT_EQ(countRelays(fleet), 6u);
+    EXPECT_EQ(fleet.at("a-0").remoteRelays().size(), 2u);
+}
+
+TEST(Member, RelaysForItselfWhenAlone)
+{
+    fleet fleet(1);
+    auto& alone = fleet.start("a", 0, { "a-0" });
+    fleet.run(milliseconds(10));
+    EXPECT_TRUE(alone.isRelay());
+    EXPECT_TRUE(alone.relays().empty());
+    auto& unreachable = fleet.start("a", 1, { "nobody" });
+    fleet.run(seconds(1));
+    EXPECT_FALSE(unreachable.isRelay()) << "a daemon that is joining must not watch the platform beside all others";
+    fleet.run(settleTime);
+    EXPECT_TRUE(unreachable.isRelay());
+    EXPECT_FALSE(unreachable.hasContact(fleet.now));
+}
+
+TEST(Member, TellsADrainEverywhereAtOnce)
+{
+    fleet fleet(2);
+    startZones(fleet, 4);
+    fleet.run(settleTime);
+    fleet.perform("b-1", fleet.at("b-1").setTargets(oneTarget(target_state::Draining), fleet.now));
+    fleet.run(milliseconds(150));
+    for (auto const& [vm, member] : fleet.members())
+        EXPECT_EQ(member->table().find("b-1")->targets, oneTarget(target_state::Draining)) << vm;
+}
+
+RC_GTEST_PROP(Member, ConvergesAfterLossRepeatsAndReordering, ())
+{
+    fleet fleet(*rc::gen::arbitrary<std::uint64_t>());
+    fleet.step = milliseconds(50);
+    fleet.lossShare = 0.3;
+    fleet.repeatShare = 0.3;
+    fleet.longestDelay = milliseconds(300);
+    startZones(fleet, 2);
+    for (int change = 0; change < 6; ++change) {
+        auto const vm = std::string(1, "abc"[change % 3]) + "-1";
+        auto const state = change < 3 ? target_state::Ready : target_state::Draining;
+        fleet.perform(vm, fleet.at(vm).setTargets(oneTarget(state), fleet.now));
+        fleet.perform(vm, fleet.at(vm).setApplied(change, 0, {}, fleet.now));
+        fleet.run(milliseconds(700));
+    }
+    fleet.lossShare = 0;
+    fleet.run(seconds(45));
+    RC_ASSERT(fleet.haveConverged());
+    RC_ASSERT(fleet.at("a-0").table().find("c-1")->targets == oneTarget(target_state::Draining));
+    for (auto const& [vm, record] : fleet.at("a-0").table().records())
+        RC_ASSERT(record.state == member_state::Alive);
+}
+
+TEST(Member, IsGoneAfterSilenceAndRefutesWhenItResumes)
+{
+    fleet fleet(3);
+    startZones(fleet, 4);
+    fleet.run(settleTime);
+    fleet.pause("a-2");
+    fleet.run(seconds(9));
+    EXPECT_EQ(stateSeen(fleet, "c-1", "a-2"), member_state::Gone);
+    fleet.resume("a-2");
+    fleet.run(seconds(5));
+    for (auto const& [vm, member] : fleet.members())
+        EXPECT_EQ(member->table().find("a-2")->state, member_state::Alive) << vm;
+    EXPECT_EQ(fleet.at("a-2").self().incarnation, 2u);
+    // The resumed one has heard nobody while it was paused, and must not take them for gone.
+    for (auto const& [vm, record] : fleet.at("a-2").table().records())
+        EXPECT_EQ(record.state, member_state::Alive) << vm;
+}
+
+TEST(Member, ReplacesARelayThatDoesNotAnswer)
+{
+    fleet fleet(4);
+    startZones(fleet, 4);
+    fleet.run(settleTime);
+    auto const relay = rankRelays(fleet.at("a-0").table(), "a")[0];
+    fleet.stop(relay);
+    fleet.run(seconds(4));
+    for (auto const& [vm, member] : fleet.members()) {
+        if (!isInZone(vm, 'a'))
+            continue;
+        EXPECT_EQ(member->relays().size() + (member->isRelay() ? 1u : 0u), 2u) << vm;
+    }
+    fleet.run(seconds(6));
+    EXPECT_EQ(stateSeen(fleet, "b-0", relay), member_state::Gone);
+    EXPECT_EQ(countRelays(fleet), 6u);
+}
+
+TEST(Member, TakesSilenceOfMostOfAZoneForACut)
+{
+    fleet fleet(5);
+    startZones(fleet, 4);
+    fleet.run(settleTime);
+    fleet.stop("a-1");
+    fleet.stop("a-2");
+    fleet.run(seconds(30));
+    EXPECT_EQ(stateSeen(fleet, "a-0", "a-1"), member_state::Alive);
+    EXPECT_EQ(stateSeen(fleet, "c-0", "a-2"), member_state::Alive);
+    std::size_t suspecting = 0;
+    for (auto const& [vm, member] : fleet.members())
+        suspecting += member->suspects(fleet.now).size() == 2;
+    EXPECT_GE(suspecting, 1u) << "the silent members are named";
+}
+
+TEST(Member, GoesAtOnceWhenItSaidItLeaves)
+{
+    fleet fleet(6);
+    fleet.start("a", 0, {});
+    fleet.start("a", 1, { "a-0" });
+    fleet.run(settleTime);
+    fleet.perform("a-1", fleet.at("a-1").setLeaving(fleet.now));
+    fleet.run(milliseconds(100));
+    EXPECT_EQ(stateSeen(fleet, "a-0", "a-1"), member_state::Leaving);
+    fleet.stop("a-1");
+    fleet.run(seconds(4));
+    EXPECT_EQ(stateSeen(fleet, "a-0", "a-1"), member_state::Gone);
+}
+
+TEST(Member, KeepsACutOffZoneAndCatchesUpAfterwards)
+{
+    fleet fleet(7);
+    startZones(fleet, 3);
+    fleet.run(settleTime);
+    fleet.isCut = [](auto& from, auto& to) {
+        return isInZone(from, 'b') != isInZone(to, 'b');
+    };
+    fleet.run(seconds(60));
+    fleet.perform("b-1", fleet.at("b-1").setTargets(oneTarget(target_state::Ready), fleet.now));
+    fleet.perform("a-1", fleet.at("a-1").setTargets(oneTarget(target_state::Ready), fleet.now));
+    fleet.run(seconds(60));
+    EXPECT_EQ(stateSeen(fleet, "a-0", "b-1"), member_state::Alive);
+    EXPECT_EQ(fleet.at("b-0").table().find("b-1")->targets.size(), 1u);
+    EXPECT_TRUE(fleet.at("a-0").table().find("b-1")->targets.empty());
+    fleet.isCut = [](auto&, auto&) {
+        return false;
+    };
+    fleet.run(seconds(12));
+    EXPECT_TRUE(fleet.haveConverged());
+    EXPECT_EQ(fleet.at("c-2").table().find("b-1")->targets.size(), 1u);
+}
+
+TEST(Member, JoinsPartsThatStartedApart)
+{
+    fleet fleet(8);
+    fleet.isCut = [](auto& from, auto& to) {
+        return isInZone(from, 'a') != isInZone(to, 'a');
+    };
+    startZones(fleet, 2);
+    fleet.run(seconds(40));
+    EXPECT_EQ(fleet.at("a-0").table().records().size(), 2u);
+    fleet.isCut = [](auto&, auto&) {
+        return false;
+    };
+    fleet.run(seconds(60));
+    EXPECT_TRUE(fleet.haveConverged());
+    EXPECT_EQ(fleet.at("a-0").table().records().size(), 6u);
+}
+
+TEST(Member, LearnsWhatItsFormerLifeApplied)
+{
+    fleet fleet(9);
+    startZones(fleet, 3);
+    fleet.run(settleTime);
+    fleet.perform("a-1", fleet.at("a-1").setApplied(7, 0, {}, fleet.now));
+    fleet.run(seconds(2));
+    // Twice in a row, the first life too short to apply anything.
+    for (int life = 0; life < 2; ++life) {
+        fleet.stop("a-1");
+        fleet.start("a", 1, { "b-0" });
+        fleet.run(seconds(3));
+        EXPECT_EQ(fleet.at("a-1").appliedBefore(), 7u);
+    }
+    EXPECT_EQ(fleet.at("a-1").self().incarnation, 3u);
+    EXPECT_TRUE(fleet.haveConverged());
+}
+
+TEST(Member, RelaysForWhoeverSubscribesUpToItsLimit)
+{
+    membership_settings settings;
+    settings.vm = "a-0";
+    settings.address = "a-0";
+    settings.maximumSubscribers = 2;
+    member relay(settings, 1);
+    generator source(1);
+    time_point const now { seconds(1) };
+    auto const retryAfter = [&](std::string const& from) {
+        heartbeat beat;
+        beat.vm = from;
+        beat.subscribes = true;
+        auto const actions = relay.didReceive(from, beat, now, source);
+        return std::get<heartbeat_answer>(std::get<send_message>(actions.at(0)).content).retryAfterMs;
+    };
+    EXPECT_EQ(retryAfter("x"), 0u);
+    EXPECT_EQ(retryAfter("y"), 0u);
+    EXPECT_GT(retryAfter("z"), 0u);
+    EXPECT_EQ(retryAfter("x"), 0u);
+    EXPECT_TRUE(relay.isRelay());
+    EXPECT_EQ(relay.subscribers(), (std::vector<std::string> { "x", "y" }));
+}
+
+TEST(Member, StaysWithinLimitsWhenHalfRestart)
+{
+    fleet fleet(10);
+    startZones(fleet, 20);
+    fleet.run(settleTime);
+    for (auto const* zone : { "a", "b", "c" }) {
+        for (int i = 0; i < 10; ++i)
+            fleet.stop(std::string(zone) + "-" + std::to_string(2 * i));
+    }
+    fleet.run(seconds(2));
+    for (auto const* zone : { "a", "b", "c" }) {
+        for (int i = 0; i < 10; ++i)
+            fleet.start(zone, 2 * i, { "a-0", "b-1", "c-3" });
+    }
+    fleet.messages = 0;
+    std::size_t mostRelays = 0;
+    for (int step = 0; step < 50; ++step) {
+        fleet.run(milliseconds(100));
+        mostRelays = std::max(mostRelays, countRelays(fleet));
+    }
+    EXPECT_TRUE(fleet.haveConverged());
+    EXPECT_LE(mostRelays, 12u) << "each relay watches the platform";
+    // Two heartbeats and answers a second for each of 60 are 1200 in 5 s.
+    EXPECT_LE(fleet.messages, 4000u);
+    for (auto const& [vm, record] : fleet.at("a-1").table().records())
+        EXPECT_EQ(record.state, member_state::Alive) << vm;
+}
+
+} // namespace merlinpier
