LibMembership: Count a daemon as joined only once it agrees with another

Ruled out: a wider limit.

Change: a daemon has joined when a heartbeat's answer shows the same table digest, and isChosenRelay() tells those that should watch the platform from those that others subscribe to.

--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -234,7 +234,10 @@
         m_peers.avoidUntil(from, now + milliseconds(answer.retryAfterMs));
     if (answer.highestKnownVersion > m_appliedHere)
         actions.emplace_back(version_heard { from, answer.highestKnownVersion });
-    bool const needsRepair = m_peers.needsRepair(from, answer.tableDigest != m_table.digest());
+    bool const differs = answer.tableDigest != m_table.digest();
+    // Daemons that start together introduce themselves to each other before any of them knows the others.
+    m_hasJoined |= !differs;
+    bool const needsRepair = m_peers.needsRepair(from, differs);
     if (needsRepair && m_peers.takeDigestTurn(from, now, m_settings.repairPeriod))
         actions.emplace_back(send_message { from, membership_digest { m_table.bucketDigests() } });
 }
@@ -260,7 +263,6 @@
             m_silence.didHear(record.vm, now);
     }
     if (!changed.empty()) {
-        m_hasJoined = true;
         refreshRanking();
         actions.emplace_back(membership_changed { std::move(changed) });
     }
@@ -423,8 +425,10 @@
     return members;
 }
 
-bool member::isChosen() const
+bool member::isChosenRelay() const
 {
+    if (isJoining())
+        return false;
     auto const chosen = reachable(m_settings.zone);
     return std::any_of(chosen.begin(), chosen.end(), [&](auto const& member) { return member.vm == m_self.vm; });
 }
@@ -441,7 +445,7 @@
     return m_hasJoined && m_peers.lastHeard() && now - *m_peers.lastHeard() < m_settings.suspectTimeout;
 }
 
-bool member::isRelay() const { return (!isJoining() && isChosen()) || !m_peers.subscribers().empty(); }
+bool member::isRelay() const { return isChosenRelay() || m_peers.hasSubscribers(); }
 
 std::vector<std::string> member::relays() const
 {
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -64,7 +64,11 @@
 
     membership_table const& table() const { return m_table; }
     member_record const& self() const { return m_self; }
+    // Whether this VM relays for others: its own view says so, or another daemon subscribes to it.
     bool isRelay() const;
+    // Whether its own view says so. Only then does it watch the platform: a daemon that others alone take for their
+    // relay hears of new versions from the relays that it reports to itself.
+    bool isChosenRelay() const;
     // Addresses of the relays of the own zone that this member reports to.
     std::vector<std::string> relays() const;
     // Addresses that subscribe to this daemon as their relay.
@@ -118,7 +122,6 @@
     void publishSelf(actions&, time_point now);
     void refreshRanking();
     std::vector<ranked_member> reachable(std::string const& zone) const;
-    bool isChosen() const;
     bool isJoining() const;
     bool isInContact(time_point now) const;
 
@@ -134,6 +137,7 @@
     // Applied in this life of the daemon, so that peers can be sent it.
     std::uint64_t m_appliedHere { 0 };
     std::uint64_t m_appliedBefore { 0 };
+    // Whether the table has been the same as another's.
     bool m_hasJoined { false };
     std::optional<time_point> m_startedAt;
     time_point m_now {};
--- a/Libraries/LibMembership/peer_directory.cpp
+++ b/Libraries/LibMembership/peer_directory.cpp
@@ -96,6 +96,12 @@
     return addresses;
 }
 
+bool peer_directory::hasSubscribers() const
+{
+    return std::any_of(
+        m_peers.begin(), m_peers.end(), [](auto const& entry) { return entry.second.subscribedUntil.has_value(); });
+}
+
 bool peer_directory::needsRepair(std::string const& address, bool digestsDiffer)
 {
     auto& peer = m_peers[address];
--- a/Libraries/LibMembership/peer_directory.h
+++ b/Libraries/LibMembership/peer_directory.h
@@ -33,6 +33,7 @@
     subscription subscribe(std::string const& address, time_point until, std::size_t maximum);
     void unsubscribe(std::string const& address);
     std::vector<std::string> subscribers() const;
+    bool hasSubscribers() const;
 
     // Compares digests with the peer's: true when a difference is to be repaired now. A first difference after equality
     // may be a change still under way, so it is repaired only if the next comparison differs too.
