--- /dev/null
+++ b/Tests/LibCalls/admission_queue_test.cpp
@@ -0,0 +1,113 @@
+#include <LibCalls/admission_queue.h>
+
+#include <gtest/gtest.h>
+
+namespace merlinpier {
+
+namespace {
+
+using kind = admission_decision::kind;
+using learning = admission_queue::learning;
+constexpr auto start = time_point(seconds(100));
+
+admission_request makeRequest(
+    std::string id, duration remaining = seconds(10), call_class callClass = call_class::Interactive)
+{
+    return { std::move(id), callClass, start + remaining };
+}
+
+admission_queue makeQueue(std::uint32_t slots, std::uint32_t queueLimit)
+{
+    admission_queue queue;
+    queue.setLimits({ slots, queueLimit, milliseconds(5), false });
+    return queue;
+}
+
+// Makes the queue learn a service time of the class.
+void teach(admission_queue& queue, duration serviceTime, call_class callClass = call_class::Interactive)
+{
+    queue.offer(makeRequest("lesson", seconds(10), callClass), start - serviceTime);
+    queue.release("lesson", learning::Learn, start);
+}
+
+kind decide(admission_queue& queue, admission_request const& request) { return queue.offer(request, start)[0].what; }
+
+} // namespace
+
+TEST(AdmissionQueue, HoldsASlotUntilTheEndIsReported)
+{
+    auto queue = makeQueue(1, 1);
+    EXPECT_EQ(decide(queue, makeRequest("a")), kind::Run);
+    EXPECT_EQ(decide(queue, makeRequest("b")), kind::Wait);
+    EXPECT_EQ(decide(queue, makeRequest("c")), kind::RefuseOverloaded);
+    EXPECT_EQ(queue.loadPermille(), 2000u);
+    EXPECT_TRUE(queue.release("unknown", learning::Learn, start).empty());
+    auto const decisions = queue.release("a", learning::Learn, start + milliseconds(20));
+    EXPECT_EQ(decisions, (std::vector<admission_decision> { { "b", kind::Run, milliseconds(0) } }));
+}
+
+TEST(AdmissionQueue, RefusesAtOnceWhatItsExpectedWaitCannotMeet)
+{
+    auto queue = makeQueue(2, 10);
+    teach(queue, milliseconds(100));
+    decide(queue, makeRequest("a"));
+    decide(queue, makeRequest("b"));
+    // The first waiting call gets a slot after about 50 ms and needs 100 ms more.
+    EXPECT_EQ(decide(queue, makeRequest("c", milliseconds(150))), kind::RefuseDeadline);
+    EXPECT_EQ(decide(queue, makeRequest("d", milliseconds(160))), kind::Wait);
+    EXPECT_EQ(decide(queue, makeRequest("e", milliseconds(160))), kind::RefuseDeadline);
+    auto const refusal = queue.offer(makeRequest("f", milliseconds(1)), start)[0];
+    EXPECT_EQ(refusal.retryAfter, milliseconds(100)) << "the expected drain of one waiting call and the own";
+}
+
+TEST(AdmissionQueue, DropsWaitingCallsThatCanNoLongerEndInTime)
+{
+    auto queue = makeQueue(1, 10);
+    teach(queue, milliseconds(20));
+    decide(queue, makeRequest("a"));
+    decide(queue, makeRequest("b", milliseconds(60)));
+    EXPECT_TRUE(queue.tick(start + milliseconds(30)).empty());
+    auto const decisions = queue.tick(start + milliseconds(40));
+    ASSERT_EQ(decisions.size(), 1u);
+    EXPECT_EQ(decisions[0].what, kind::RefuseDeadline);
+    EXPECT_EQ(queue.queued(), 0u);
+}
+
+TEST(AdmissionQueue, GivesAFreeSlotWhateverItHasLearnt)
+{
+    auto queue = makeQueue(1, 10);
+    teach(queue, seconds(5));
+    EXPECT_EQ(decide(queue, makeRequest("a", milliseconds(50))), kind::Run)
+        << "a service time that was learnt too long is never corrected";
+    EXPECT_EQ(decide(queue, makeRequest("b", milliseconds(50))), kind::RefuseDeadline);
+}
+
+TEST(AdmissionQueue, LetsReportsYield)
+{
+    auto queue = makeQueue(2, 2);
+    EXPECT_EQ(decide(queue, makeRequest("r1", seconds(10), call_class::Report)), kind::Run);
+    EXPECT_EQ(decide(queue, makeRequest("r2", seconds(10), call_class::Report)), kind::Wait)
+        << "one slot stays free of reports";
+    EXPECT_EQ(decide(queue, makeRequest("i1")), kind::Run);
+    EXPECT_EQ(decide(queue, makeRequest("r3", seconds(10), call_class::Report)), kind::Wait);
+    auto const decisions = queue.offer(makeRequest("i2"), start);
+    ASSERT_EQ(decisions.size(), 2u);
+    EXPECT_EQ(decisions[0].what, kind::Wait);
+    EXPECT_EQ(decisions[1].id, "r3") << "the newest report makes room";
+    EXPECT_EQ(decisions[1].what, kind::RefuseOverloaded);
+    auto const freed = queue.release("r1", learning::Learn, start);
+    ASSERT_FALSE(freed.empty());
+    EXPECT_EQ(freed[0].id, "i2") << "the waiting report goes first";
+}
+
+TEST(AdmissionQueue, DoesNotTakeReportsForInteractiveCallsInItsEstimate)
+{
+    auto queue = makeQueue(2, 10);
+    teach(queue, seconds(2), call_class::Report);
+    teach(queue, milliseconds(10));
+    decide(queue, makeRequest("a"));
+    decide(queue, makeRequest("b"));
+    EXPECT_EQ(decide(queue, makeRequest("c", milliseconds(100))), kind::Wait);
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Tests/LibCalls/call_property_test.cpp
@@ -0,0 +1,147 @@
+#include <LibCalls/attempt_identifier.h>
+#include <Tests/LibCalls/call_world.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace merlinpier {
+
+namespace {
+
+using namespace fixture;
+
+caller_request makeRequest(std::string id, std::string const& method, std::string const& path)
+{
+    caller_request request;
+    request.body = "body of " + id;
+    request.id = std::move(id);
+    request.service = "slots";
+    request.method = method;
+    request.path = path;
+    return request;
+}
+
+fault_rates anyFaults()
+{
+    return { *rc::gen::inRange<std::uint32_t>(0, 300), *rc::gen::inRange<std::uint32_t>(0, 300),
+        *rc::gen::inRange<std::uint32_t>(0, 60), *rc::gen::inRange<std::uint32_t>(0, 5),
+        *rc::gen::inRange<std::uint32_t>(0, 100), *rc::gen::inRange<std::uint32_t>(0, 100),
+        *rc::gen::inRange<std::uint32_t>(0, 200) };
+}
+
+world_settings anyWorld()
+{
+    world_settings settings;
+    settings.clients = *rc::gen::inRange<std::size_t>(1, 4);
+    settings.targets = *rc::gen::inRange<std::size_t>(1, 4);
+    settings.slots = *rc::gen::inRange<std::uint32_t>(1, 4);
+    settings.faults = anyFaults();
+    settings.seed = *rc::gen::arbitrary<std::uint64_t>();
+    return settings;
+}
+
+// Starts calls of both kinds at random clients over a second, and runs until all have ended.
+void runCalls(call_world& world, std::size_t clients, int calls)
+{
+    auto const start = world.now();
+    for (int i = 0; i < calls; ++i) {
+        world.at(start + milliseconds(uniformBelow(world.random(), 1000)), [&world, clients, i] {
+            bool const isLookup = uniformBelow(world.random(), 2) == 0;
+            auto const id = "call-" + std::to_string(i);
+            auto const request = isLookup ? makeRequest(id, "GET", "/slots/7") : makeRequest(id, "POST", "/visits");
+            world.startCall(uniformBelow(world.random(), clients), request, isLookup);
+        });
+    }
+    world.run(start + seconds(5));
+}
+
+int runsOf(call_world const& world, std::string const& id)
+{
+    auto const found = world.runs().find(id);
+    return found == world.runs().end() ? 0 : found->second;
+}
+
+void checkOutcome(call_world const& world, call_history const& call)
+{
+    RC_ASSERT(call.outcomes.size() == 1u);
+    int const runs = runsOf(world, call.request.id);
+    if (!call.isIdempotent)
+        RC_ASSERT(runs <= 1);
+    if (auto const* refused = std::get_if<call_not_run>(&call.outcomes[0])) {
+        // An idempotent call that was lost once and refused afterwards is told by its last attempt.
+        if (!call.isIdempotent)
+            RC_ASSERT(runs == 0);
+        RC_ASSERT(refused->retryAfterMs > 0u);
+    }
+    if (auto const* answered = std::get_if<call_answered>(&call.outcomes[0])) {
+        RC_ASSERT(answered->answer.id == call.request.id);
+        RC_ASSERT(answered->answer.body == "answer to " + call.request.body);
+        RC_ASSERT(runs >= 1);
+    }
+}
+
+} // namespace
+
+TEST(CallProperty, EveryCallHasOneTrueOutcomeWhateverTheLinksDo)
+{
+    std::map<std::size_t, int> outcomes;
+    EXPECT_TRUE(rc::check([&] {
+        auto const settings = anyWorld();
+        call_world world(settings);
+        runCalls(world, settings.clients, *rc::gen::inRange(1, 60));
+        for (auto const& call : world.history()) {
+            checkOutcome(world, call);
+            ++outcomes[call.outcomes[0].index()];
+        }
+    }));
+    // Each kind of outcome has to occur, or the property says nothing about it.
+    EXPECT_GT(outcomes[0], 1000);
+    EXPECT_GT(outcomes[1], 100);
+    EXPECT_GT(outcomes[2], 100);
+}
+
+TEST(CallProperty, AKeyRunsOnceWhoeverRepeatsIt)
+{
+    EXPECT_TRUE(rc::check([] {
+        auto settings = anyWorld();
+        settings.faults.restart = 0;
+        call_world world(settings);
+        auto const start = world.now();
+        int const repeats = *rc::gen::inRange(2, 12);
+        for (int i = 0; i < repeats; ++i) {
+            world.at(start + milliseconds(uniformBelow(world.random(), 2000)), [&world, &settings] {
+                auto request = makeRequest(keyedCallIdentifier("slots", "reserve", "visit-7"), "POST", "/visits");
+                request.idempotencyKey = "visit-7";
+                world.startCall(uniformBelow(world.random(), settings.clients), request, false);
+            });
+        }
+        world.run(start + seconds(5));
+        bool wasRunOrUnknown = false;
+        for (auto const& call : world.history()) {
+            RC_ASSERT(call.outcomes.size() == 1u);
+            wasRunOrUnknown |= !std::holds_alternative<call_not_run>(call.outcomes[0]);
+        }
+        int const runs = runsOf(world, keyedCallIdentifier("slots", "reserve", "visit-7"));
+        RC_ASSERT(runs <= 1);
+        RC_ASSERT(wasRunOrUnknown || runs == 0);
+    }));
+}
+
+TEST(CallProperty, ASilentLinkDelaysNoCallByAsMuchAsASecond)
+{
+    world_settings settings;
+    settings.deadline = milliseconds(3000);
+    settings.faults.silence = 20;
+    settings.seed = 11;
+    call_world world(settings);
+    runCalls(world, settings.clients, 500);
+    int answered = 0;
+    for (auto const& call : world.history()) {
+        ASSERT_EQ(call.outcomes.size(), 1u);
+        answered += std::holds_alternative<call_answered>(call.outcomes[0]);
+        EXPECT_LT(call.completedAt - call.startedAt, seconds(1)) << call.request.id;
+    }
+    EXPECT_EQ(answered, 500) << "each call can be asked about, so that none is lost";
+}
+
+} // namespace merlinpier
--- /dev/null
+++ b/Tests/LibCalls/call_world.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <LibCalls/call_client.h>
+#include <LibCalls/call_server.h>
+#include <Tests/LibRouting/fleet_fixture.h>
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+
+namespace merlinpier::fixture {
+
+// What the links and targets of a call_world do to calls, in thousandths of events.
+struct fault_rates {
+    std::uint32_t duplicate { 0 };
+    // Frames held back for up to a second, also past the end of their connection.
+    std::uint32_t late { 0 };
+    // Chance each 10 ms that a link goes silent; it is replaced 30 ms later.
+    std::uint32_t silence { 0 };
+    // Chance each 10 ms that a target's daemon restarts with an empty ledger.
+    std::uint32_t restart { 0 };
+    // Outcomes of a run other than a whole answer.
+    std::uint32_t unreachable { 0 };
+    std::uint32_t lost { 0 };
+    std::uint32_t shed { 0 };
+};
+
+struct world_settings {
+    std::size_t clients { 1 };
+    std::size_t targets { 3 };
+    std::uint32_t slots { 6 };
+    milliseconds deadline { 500 };
+    choice_policy choice { choice_policy::LeastLoadedOfTwo };
+    admission_policy admission { admission_policy::SlotsAndQueue };
+    retry_policy retries { retry_policy::ProvenOrIdempotent };
+    microseconds latency { 500 };
+    // Mean of the work of a call; it is exponentially distributed.
+    milliseconds work { 20 };
+    milliseconds reportWork { 100 };
+    fault_rates faults;
+    std::uint64_t seed { 1 };
+};
+
+// What a call came to, and what its targets saw of it.
+struct call_history {
+    caller_request request;
+    bool isIdempotent { false };
+    time_point startedAt {};
+    time_point completedAt {};
+    std::vector<final_outcome> outcomes;
+};
+
+// First daemons and targets' daemons joined by links that lose, duplicate, delay and reorder, in virtual time. The
+// targets are fakes: each run takes a slot of real work, so that more calls than slots slow each other down.
+class call_world {
+public:
+    explicit call_world(world_settings);
+
+    // Starts a call at the client; the history is complete once run() is over.
+    void startCall(std::size_t client, caller_request, bool isIdempotent);
+    void at(time_point, std::function<void()>);
+    void run(time_point until);
+
+    time_point now() const { return m_now; }
+    generator& random() { return m_random; }
+    std::vector<call_history> const& history() const { return m_history; }
+    // How often a target began to run each call.
+    std::map<std::string, int> const& runs() const { return m_runs; }
+    call_client& client(std::size_t index) { return *m_clients[index].decisions; }
+    call_server& server(std::size_t index) { return *m_servers[index].decisions; }
+    local_targets& targetsOf(std::size_t index) { return m_servers[index].targets; }
+    std::size_t mostQueued() const { return m_mostQueued; }
+
+private:
+    struct link {
+        std::uint64_t generation { 1 };
+        bool isSilent { false };
+        // The server's newest hello: replies go to this generation.
+        std::uint64_t accepted { 1 };
+    };
+    struct client_node {
+        std::unique_ptr<call_client> decisions;
+        std::uint64_t instance { 0 };
+        std::map<std::string, std::vector<std::size_t>> open;
+    };
+    struct server_node {
+        std::unique_ptr<call_server> decisions;
+        local_targets targets { milliseconds(1000000000) };
+        std::uint64_t instance { 0 };
+        // Runs by a number of their own, so that the end of an aborted run is not taken for that of another.
+        std::map<std::string, std::uint64_t> runs;
+        std::size_t working { 0 };
+    };
+    struct event {
+        time_point at;
+        std::uint64_t order { 0 };
+        std::function<void()> action;
+        bool operator<(event const& other) const { return std::tie(other.at, other.order) < std::tie(at, order); }
+    };
+
+    bool happens(std::uint32_t permille) { return permille > 0 && uniformBelow(m_random, 1000) < permille; }
+    duration frameDelay();
+    void restartServer(std::size_t);
+    void silence(std::size_t client, std::size_t server);
+    void replaceLink(std::size_t client, std::size_t server);
+    void publish();
+    void disturb();
+    void tick();
+    void apply(std::size_t client, std::vector<client_action> const&);
+    void applyServer(std::size_t server, std::vector<server_action> const&);
+    void sendToServer(std::size_t client, std::size_t server, message);
+    void deliverToServer(std::size_t client, std::size_t server, std::uint64_t generation, message const&);
+    void sendToClient(std::size_t server, std::uint64_t instance, message);
+    void startRun(std::size_t server, run_call const&);
+    void endRun(std::size_t server, std::uint64_t instance, std::string const& id, std::uint64_t run, call_answer);
+    void finish(std::size_t client, complete_call const&);
+    std::size_t indexOf(std::string const& address) const { return std::stoul(address.substr(2)); }
+
+    world_settings m_settings;
+    generator m_random;
+    time_point m_now { seconds(1000) };
+    std::uint64_t m_order { 0 };
+    std::uint64_t m_lastInstance { 100 };
+    std::uint64_t m_lastRun { 0 };
+    std::priority_queue<event> m_events;
+    std::shared_ptr<configuration_set const> m_configuration;
+    membership_table m_members;
+    std::vector<client_node> m_clients;
+    std::vector<server_node> m_servers;
+    std::map<std::pair<std::size_t, std::size_t>, link> m_links;
+    std::vector<call_history> m_history;
+    std::map<std::string, int> m_runs;
+    std::size_t m_mostQueued { 0 };
+};
+
+} // namespace merlinpier::fixture
--- /dev/null
+++ b/Tests/LibCalls/overload_test.cpp
@@ -0,0 +1,149 @@
+#include <Tests/LibCalls/call_world.h>
+
+#include <cmath>
+#include <gtest/gtest.h>
+#include <iomanip>
+#include <iostream>
+
+namespace merlinpier {
+
+namespace {
+
+using namespace fixture;
+
+// Interactive calls and reports that were offered, and what came of them, each in calls a second.
+struct overload_figures {
+    double capacity { 0 };
+    double interactiveOffered { 0 };
+    double interactiveGoodput { 0 };
+    double reportGoodput { 0 };
+    double retryShare { 0 };
+    double unknownShare { 0 };
+    milliseconds slowestRefusal { 0 };
+    std::size_t mostQueued { 0 };
+};
+
+struct load_settings {
+    world_settings world;
+    // Offered interactive calls as a multiple of the slots' capacity.
+    double factor { 1 };
+    double reportShare { 0 };
+    seconds length { 10 };
+};
+
+void startArrival(call_world& world, load_settings const& load, int number, bool isReport)
+{
+    caller_request request;
+    request.id = "call-" + std::to_string(number);
+    request.body = request.id;
+    request.service = "slots";
+    request.method = "GET";
+    request.path = isReport ? "/reports/today" : "/slots/7";
+    world.startCall(number % load.world.clients, request, true);
+}
+
+// Poisson arrivals that do not wait for answers (an open loop).
+void scheduleArrivals(call_world& world, load_settings const& load, double perSecond)
+{
+    auto when = world.now();
+    auto const end = when + load.length;
+    for (int number = 0;; ++number) {
+        auto const gap = std::chrono::duration<double>(-std::log(1 - uniformUnit(world.random())) / perSecond);
+        when += std::chrono::duration_cast<duration>(gap);
+        if (when >= end)
+            return;
+        bool const isReport = uniformUnit(world.random()) < load.reportShare;
+        world.at(when, [&world, load, number, isReport] { startArrival(world, load, number, isReport); });
+    }
+}
+
+overload_figures measure(load_settings const& load)
+{
+    call_world world(load.world);
+    overload_figures figures;
+    double const length = load.length.count();
+    figures.capacity = load.world.targets * load.world.slots * 1000.0 / load.world.work.count();
+    scheduleArrivals(world, load, figures.capacity * load.factor / (1 - load.reportShare));
+    auto const start = world.now();
+    world.run(start + load.length + seconds(3));
+    double unknown = 0;
+    for (auto const& call : world.history()) {
+        bool const isAnswered = std::holds_alternative<call_answered>(call.outcomes.at(0));
+        bool const isReport = call.request.path.starts_with("/reports");
+        figures.interactiveOffered += !isReport / length;
+        (isReport ? figures.reportGoodput : figures.interactiveGoodput) += isAnswered / length;
+        unknown += std::holds_alternative<call_outcome_unknown>(call.outcomes[0]);
+        if (std::holds_alternative<call_not_run>(call.outcomes[0]))
+            figures.slowestRefusal
+                = std::max(figures.slowestRefusal, std::chrono::ceil<milliseconds>(call.completedAt - call.startedAt));
+    }
+    double retries = 0;
+    for (std::size_t i = 0; i < load.world.clients; ++i)
+        retries += world.client(i).totals().retries;
+    figures.retryShare = retries / world.history().size();
+    figures.unknownShare = unknown / world.history().size();
+    figures.mostQueued = world.mostQueued();
+    return figures;
+}
+
+overload_figures show(std::string const& name, load_settings const& load)
+{
+    auto const figures = measure(load);
+    std::cout << std::fixed << std::setprecision(1) << name << ": load " << load.factor << "x, interactive goodput "
+              << 100 * figures.interactiveGoodput / figures.capacity << "% of " << figures.capacity << "/s, reports "
+              << figures.reportGoodput << "/s, retries " << 100 * figures.retryShare << "%, unknown "
+              << 100 * figures.unknownShare << "%, slowest refusal " << figures.slowestRefusal.count()
+              << " ms, longest queue " << figures.mostQueued << "\n";
+    return figures;
+}
+
+load_settings makeLoad(double factor, double reportShare = 0)
+{
+    load_settings load;
+    load.world.clients = 6;
+    load.world.deadline = milliseconds(200);
+    load.factor = factor;
+    load.reportShare = reportShare;
+    return load;
+}
+
+} // namespace
+
+TEST(Overload, InteractiveGoodputStaysAtCapacity)
+{
+    for (double const factor : { 2.0, 5.0 }) {
+        auto const figures = show("whole policy", makeLoad(factor));
+        EXPECT_GE(figures.interactiveGoodput, 0.9 * figures.capacity);
+        EXPECT_LT(figures.retryShare, 0.1);
+        EXPECT_LE(figures.mostQueued, 12u);
+        EXPECT_LT(figures.unknownShare, 0.02);
+    }
+}
+
+TEST(Overload, ReportsYield)
+{
+    auto const without = show("no reports", makeLoad(1.5));
+    auto const with = show("a third reports", makeLoad(1.5, 0.33));
+    EXPECT_GE(with.interactiveGoodput, 0.9 * without.interactiveGoodput);
+    auto const quiet = show("a third reports", makeLoad(0.3, 0.33));
+    EXPECT_GE(quiet.interactiveGoodput, 0.98 * quiet.interactiveOffered);
+    EXPECT_GT(quiet.reportGoodput, 0.0);
+}
+
+TEST(Overload, EachMechanismEarnsItsPlace)
+{
+    auto const whole = show("whole policy", makeLoad(2));
+    auto unlimited = makeLoad(2);
+    unlimited.world.admission = admission_policy::Unlimited;
+    EXPECT_LT(show("no admission", unlimited).interactiveGoodput, 0.5 * whole.interactiveGoodput);
+    auto always = makeLoad(2);
+    always.world.retries = retry_policy::Always;
+    EXPECT_GT(show("retry always", always).retryShare, 0.5);
+    auto random = makeLoad(0.85);
+    random.world.choice = choice_policy::Random;
+    auto const chosen = show("two choices", makeLoad(0.85));
+    auto const drawn = show("random choice", random);
+    EXPECT_GT(chosen.interactiveGoodput, drawn.interactiveGoodput);
+}
+
+} // namespace merlinpier
