Tests: Stand in for a target

Cause: the daemon needs targets that announce themselves, start cold, shed, honour deadlines and cancellation, call on through the mesh, drain on SIGTERM, and keep a ledger of every run, duplicates included. LibCore's timer service gains stop(), so that threads which call each other can be ended in order.

--- a/Libraries/LibCore/timer_service.cpp
+++ b/Libraries/LibCore/timer_service.cpp
@@ -16,14 +16,17 @@
 {
 }
 
-timer_service::~timer_service()
+timer_service::~timer_service() { stop(); }
+
+void timer_service::stop()
 {
     {
         mutex_lock lock(m_mutex);
         m_isStopping = true;
     }
     m_changed.notifyAll();
-    m_thread.join();
+    if (m_thread.joinable())
+        m_thread.join();
 }
 
 timer_id timer_service::subscribeOnce(duration delay, std::function<void()> callback)
--- a/Libraries/LibCore/timer_service.h
+++ b/Libraries/LibCore/timer_service.h
@@ -27,6 +27,8 @@
     timer_id subscribe(duration period, std::function<void()>);
     // Ends a subscription; a callback that has already begun runs to its end.
     void cancel(timer_id);
+    // Ends the thread, after a callback that has already begun; later subscriptions never call back.
+    void stop();
 
 private:
     struct subscription {
--- a/Tests/StandIns/Platform/platform_handler.cpp
+++ b/Tests/StandIns/Platform/platform_handler.cpp
@@ -67,7 +67,7 @@
     auto const document = json::parse(body, nullptr, false);
     if (!document.is_object() || !document.contains("mode") || !document["mode"].is_string())
         return std::nullopt;
-    auto const delay = document.value("delay_ms", json(0));
+    auto const delay = document.value("delay_ms", json(0U));
     if (!delay.is_number_unsigned())
         return std::nullopt;
     store_fault fault { store_fault_mode::None, milliseconds(delay.get<std::uint64_t>()) };
--- /dev/null
+++ b/Tests/StandIns/Target/target_handler.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <Tests/StandIns/Target/target_environment.h>
+
+namespace merlinpier {
+
+// The HTTP interface of the stand-in of a target: /ledger, /health and /load; any other request is work.
+class target_handler final : public http_handler {
+public:
+    explicit target_handler(target_environment&);
+
+    // ^http_handler
+    void didReceiveRequest(http_request, std::shared_ptr<http_responder>) override;
+
+private:
+    http_response health() const;
+    http_response load() const;
+    void run(http_request, std::shared_ptr<http_responder>);
+
+    target_environment& m_environment;
+};
+
+} // namespace merlinpier
