--- a/Libraries/LibCore/timer_service.h
+++ b/Libraries/LibCore/timer_service.h
@@ -29,8 +29,6 @@
     void stop();
     // Ends a subscription; a callback that has already begun runs to its end.
     void cancel(timer_id);
-    // Ends the thread, after a callback that has already begun; later subscriptions never call back.
-    void stop();
 
 private:
     struct subscription {
