--- /dev/null
+++ b/Libraries/LibOperator/text_report.cpp
@@ -0,0 +1,193 @@
+#include <LibOperator/text_report.h>
+
+#include <LibConfiguration/service_configuration.h>
+#include <LibCore/json_object_reader.h>
+
+#include <algorithm>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr std::size_t maximumAnswerBytes = 64 * 1024 * 1024;
+constexpr int indentation = 4;
+
+// Runs a function over the parsed body. The library throws where a key is missing or of another type, which here means
+// that the answer came from something else than a daemon of this version.
+result<std::string> describe(std::string_view body, std::function<std::string(nlohmann::json const&)> const& write)
+{
+    auto const value = TRY(parseStrictJson(body, maximumAnswerBytes, "the answer"));
+    try {
+        return write(value);
+    } catch (nlohmann::json::exception const&) {
+        return error { error_kind::Corrupt, "the daemon's answer lacks what this command shows",
+            "use a command line of the daemon's version, or --json to see the answer" };
+    }
+}
+
+std::string numberText(nlohmann::json const& value) { return std::to_string(value.get<std::uint64_t>()); }
+
+std::string padded(std::string text, std::size_t width)
+{
+    text.resize(std::max(text.size(), width), ' ');
+    return text + "  ";
+}
+
+std::string joined(std::vector<std::string> const& names)
+{
+    std::string text;
+    for (auto const& name : names)
+        text += (text.empty() ? "" : ", ") + name;
+    return text.empty() ? "none" : text;
+}
+
+std::string joined(nlohmann::json const& names) { return joined(names.get<std::vector<std::string>>()); }
+
+std::string dump(nlohmann::json const& value)
+{
+    return value.dump(indentation, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+std::string entryPointLine(nlohmann::json const& entryPoint)
+{
+    return "    "
+        + padded(entryPoint.at("method").get<std::string>() + " " + entryPoint.at("path").get<std::string>(), 36)
+        + entryPoint.at("class").get<std::string>() + ", "
+        + (entryPoint.at("idempotent").get<bool>() ? "idempotent" : "not idempotent") + ", deadline "
+        + numberText(entryPoint.at("deadline_ms")) + " ms\n";
+}
+
+std::string generatedText(nlohmann::json const& generated)
+{
+    auto const& answers = generated.at("answers");
+    std::string text = "service " + generated.at("service").get<std::string>() + ", revision "
+        + numberText(generated.at("revision")) + ", owner " + answers.at("owner").get<std::string>() + "\n";
+    text += "  depends on: " + joined(answers.at("dependencies")) + "\n";
+    text += "  callers allowed: " + joined(answers.at("allowed_callers")) + "\n";
+    text += "  entry points:\n";
+    for (auto const& entryPoint : answers.at("entry_points"))
+        text += entryPointLine(entryPoint);
+    text += "  licences: " + joined(answers.at("licences")) + "\n";
+    text += "  slots a copy: " + numberText(answers.at("slots_per_copy")) + ", drain time "
+        + numberText(answers.at("drain_time_ms")) + " ms\n";
+    text += "  generated: queue of " + numberText(generated.at("queue_limit")) + ", retry budget "
+        + numberText(generated.at("retry_budget_permille")) + " of 1000 calls, slow start "
+        + numberText(generated.at("slow_start_ms")) + " ms, answers kept "
+        + numberText(generated.at("answer_retention_ms")) + " ms\n";
+    return text;
+}
+
+std::string servicesText(nlohmann::json const& value)
+{
+    std::string text = "version " + numberText(value.at("version")) + "\n";
+    for (auto const& service : value.at("services")) {
+        text += "  " + padded(service.at("service").get<std::string>(), 20) + "revision "
+            + padded(numberText(service.at("revision")), 4) + service.at("owner").get<std::string>() + "\n";
+    }
+    return text;
+}
+
+std::string historyText(nlohmann::json const& value)
+{
+    std::string text = "version " + numberText(value.at("version")) + "\n";
+    auto const& recent = value.at("recent");
+    for (auto accepted = recent.rbegin(); accepted != recent.rend(); ++accepted) {
+        text += "  version " + padded(numberText(accepted->at("version")), 4)
+            + padded(accepted->at("service").get<std::string>(), 20) + "revision "
+            + padded(numberText(accepted->at("revision")), 4) + padded(accepted->at("owner").get<std::string>(), 24)
+            + "id " + accepted->at("id").get<std::string>() + "\n";
+    }
+    return text;
+}
+
+std::string zoneLine(zone_status const& zone)
+{
+    return "  zone " + padded(zone.zone, 16) + std::to_string(zone.applied) + " of " + std::to_string(zone.members)
+        + " daemons" + (zone.isReachable ? "" : ", cannot be reached") + "\n";
+}
+
+std::size_t countAt(fleet_status const& status)
+{
+    std::size_t count = 0;
+    for (auto const& zone : status.zones)
+        count += zone.applied;
+    return count;
+}
+
+std::size_t countMembers(fleet_status const& status)
+{
+    std::size_t count = 0;
+    for (auto const& zone : status.zones)
+        count += zone.members;
+    return count;
+}
+
+std::string unreachableZones(fleet_status const& status)
+{
+    std::vector<std::string> zones;
+    for (auto const& zone : status.zones) {
+        if (!zone.isReachable)
+            zones.push_back(zone.zone);
+    }
+    return zones.empty() ? "" : joined(zones);
+}
+
+} // namespace
+
+result<std::string> describeGenerated(std::string_view body) { return describe(body, generatedText); }
+
+result<std::string> describeServices(std::string_view body) { return describe(body, servicesText); }
+
+result<std::string> describeService(std::string_view body)
+{
+    return describe(body, [](nlohmann::json const& value) { return generatedText(value.at("generated")); });
+}
+
+result<std::string> answersOfService(std::string_view body)
+{
+    return describe(body, [](nlohmann::json const& value) { return dump(value.at("answers")); });
+}
+
+result<std::string> describeHistory(std::string_view body) { return describe(body, historyText); }
+
+result<std::string> indented(std::string_view body) { return describe(body, dump); }
+
+std::string describeStatus(fleet_status const& status)
+{
+    std::string text = "version " + std::to_string(status.asked) + (status.isInForce ? " is" : " is not")
+        + " in force; this daemon applies " + std::to_string(status.applied) + ", the highest known is "
+        + std::to_string(status.version) + "\n";
+    for (auto const& zone : status.zones)
+        text += zoneLine(zone);
+    for (auto const& member : status.members) {
+        if (member.refusedVersion > 0) {
+            text += "  " + member.vm + " refused version " + std::to_string(member.refusedVersion) + ": "
+                + member.refusedReason + "\n";
+        }
+    }
+    if (!status.behind.empty())
+        text += "  behind: " + joined(status.behind) + "\n";
+    if (!status.silent.empty())
+        text += "  silent: " + joined(status.silent) + "\n";
+    if (!status.isPlatformReachable)
+        text += "  the platform has not answered for " + std::to_string(status.platformSilentMs) + " ms\n";
+    return text;
+}
+
+std::string describeProgress(fleet_status const& status)
+{
+    std::string text = "version " + std::to_string(status.asked) + ": applied by " + std::to_string(countAt(status))
+        + " of " + std::to_string(countMembers(status)) + " daemons";
+    if (!status.behind.empty())
+        text += "; behind: " + joined(status.behind);
+    if (!status.silent.empty())
+        text += "; silent: " + joined(status.silent);
+    auto const unreachable = unreachableZones(status);
+    if (!unreachable.empty())
+        text += "; zones that cannot be reached: " + unreachable;
+    return text;
+}
+
+} // namespace merlinpier
