--- a/Libraries/LibOperator/fleet_status.cpp
+++ b/Libraries/LibOperator/fleet_status.cpp
@@ -32,7 +32,7 @@
     zone_status zone;
     zone.zone = TRY(reader.text("zone"));
     zone.members = TRY(reader.number("members", 0, anyNumber));
-    zone.applied = TRY(reader.number("applied", 0, anyNumber));
+    zone.lowestApplied = TRY(reader.number("applied", 0, anyNumber));
     zone.isReachable = TRY(reader.boolean("reachable"));
     return zone;
 }
--- a/Libraries/LibOperator/fleet_status.h
+++ b/Libraries/LibOperator/fleet_status.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <LibCore/result.h>
-#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -25,8 +24,10 @@
 // One availability zone as a daemon sees it.
 struct zone_status {
     std::string zone;
-    std::size_t members { 0 };
-    std::size_t applied { 0 };
+    // Live daemons.
+    std::uint64_t members { 0 };
+    // The lowest version that one of them applies.
+    std::uint64_t lowestApplied { 0 };
     bool isReachable { true };
 
     bool operator==(zone_status const&) const = default;
--- a/Libraries/LibOperator/text_report.cpp
+++ b/Libraries/LibOperator/text_report.cpp
@@ -104,24 +104,15 @@
 
 std::string zoneLine(zone_status const& zone)
 {
-    return "  zone " + padded(zone.zone, 16) + std::to_string(zone.applied) + " of " + std::to_string(zone.members)
-        + " daemons" + (zone.isReachable ? "" : ", cannot be reached") + "\n";
+    return "  zone " + padded(zone.zone, 16) + std::to_string(zone.members) + " live daemons, all at version "
+        + std::to_string(zone.lowestApplied) + " or above" + (zone.isReachable ? "" : "; cannot be reached") + "\n";
 }
 
-std::size_t countAt(fleet_status const& status)
+// Counts the live daemons that have applied at least the version.
+std::size_t countLive(fleet_status const& status, std::uint64_t version)
 {
-    std::size_t count = 0;
-    for (auto const& zone : status.zones)
-        count += zone.applied;
-    return count;
-}
-
-std::size_t countMembers(fleet_status const& status)
-{
-    std::size_t count = 0;
-    for (auto const& zone : status.zones)
-        count += zone.members;
-    return count;
+    return std::count_if(status.members.begin(), status.members.end(),
+        [&](member_status const& member) { return member.state == "alive" && member.appliedVersion >= version; });
 }
 
 std::string unreachableZones(fleet_status const& status)
@@ -178,8 +169,9 @@
 
 std::string describeProgress(fleet_status const& status)
 {
-    std::string text = "version " + std::to_string(status.asked) + ": applied by " + std::to_string(countAt(status))
-        + " of " + std::to_string(countMembers(status)) + " daemons";
+    std::string text = "version " + std::to_string(status.asked) + ": applied by "
+        + std::to_string(countLive(status, status.asked)) + " of " + std::to_string(countLive(status, 0))
+        + " live daemons";
     if (!status.behind.empty())
         text += "; behind: " + joined(status.behind);
     if (!status.silent.empty())
