--- a/Services/Daemon/status_report.cpp
+++ b/Services/Daemon/status_report.cpp
@@ -184,11 +184,15 @@
     nlohmann::json silent = nlohmann::json::array();
     nlohmann::json zones = nlohmann::json::array();
     version_number highest = summary.highestKnown;
-    mutex_lock lock(m_mutex);
-    for (auto const& [zone, view] : m_zones)
+    std::map<std::string, zone_view> views;
+    {
+        mutex_lock lock(m_mutex);
+        views = m_zones;
+    }
+    for (auto const& [zone, view] : views)
         highest = std::max(highest, view.highestKnown);
     auto const asked = m_asked == 0 ? highest : m_asked;
-    for (auto const& [zone, view] : m_zones) {
+    for (auto const& [zone, view] : views) {
         version_number lowest = highest;
         std::size_t live = 0;
         for (auto const& record : view.members) {
--- a/Tests/System/cluster.cpp
+++ b/Tests/System/cluster.cpp
@@ -164,7 +164,7 @@
 {
     std::ifstream stream(std::string(MERLINPIER_SOURCE_DIR) + "/" + file);
     auto const answers = nlohmann::json::parse(stream, nullptr, false);
-    return submit(vm, answers, "test-" + file);
+    return submit(vm, answers, "test-" + answers.value("service", ""));
 }
 
 result<http_response> cluster::submit(int vm, nlohmann::json const& answers, std::string const& id)
