LibCalls: Keep a key at its target and retry only where there is room

A refusal about load is tried elsewhere only if the next target is not known to be loaded. Refusals about routes and connections need no budget: they are few for each change, and a silent connection with a spent budget had cost 7 of 500 calls their retry. A report needs a third of the slots free.

--- a/Libraries/LibCalls/admission_queue.cpp
+++ b/Libraries/LibCalls/admission_queue.cpp
@@ -73,19 +73,12 @@
     return static_cast<std::uint32_t>((running() + queued()) * 1000 / slots);
 }
 
-// Reports leave one slot free for calls that somebody waits for, where the target has more than one.
+// A report starts only where a third of the slots stays free for calls that somebody waits for, since a report may hold
+// a slot for many times as long as they do.
 bool admission_queue::hasSlotFor(call_class callClass) const
 {
-    if (running() >= m_limits.slots)
-        return false;
-    bool const isReport = callClass == call_class::Report;
-    return !isReport || m_limits.slots <= 1 || runningReports() + 1 < m_limits.slots;
-}
-
-std::size_t admission_queue::runningReports() const
-{
-    return std::count_if(m_running.begin(), m_running.end(),
-        [](auto const& call) { return call.second.callClass == call_class::Report; });
+    std::size_t const reserve = m_limits.slots > 1 ? (m_limits.slots + 2) / 3 : 0;
+    return running() + (callClass == call_class::Report ? reserve : 0) < m_limits.slots;
 }
 
 // The wait of a call that comes after the given number of waiting calls, when every slot is taken: slots get free at a
--- a/Libraries/LibCalls/admission_queue.h
+++ b/Libraries/LibCalls/admission_queue.h
@@ -78,7 +78,6 @@
     };
 
     bool hasSlotFor(call_class) const;
-    std::size_t runningReports() const;
     duration expectedWait(std::size_t callsAhead) const;
     duration serviceTimeOfRunning() const;
     admission_decision refuse(std::string const& id, admission_decision::kind) const;
--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -17,6 +17,21 @@
     return reason == refusal_reason::Overloaded || reason == refusal_reason::DeadlineTooShort;
 }
 
+// The target is leaving for every first daemon, so that a key moves to the next target for all of them.
+bool isAboutLeaving(refusal_reason reason)
+{
+    return reason == refusal_reason::Draining || reason == refusal_reason::UnknownTarget
+        || reason == refusal_reason::Unlicensed;
+}
+
+// The route or the connection was out of date. Such refusals are few for each change, so that trying again needs no
+// budget.
+bool isAboutRoute(refusal_reason reason)
+{
+    return isAboutLeaving(reason) || reason == refusal_reason::OtherInstance
+        || reason == refusal_reason::StaleGeneration;
+}
+
 call_not_run notRun(refusal_reason reason, std::uint32_t retryAfterMs)
 {
     return { reason, std::max(retryAfterMs, shortestRetryAfterMs), refusalText(reason) };
@@ -141,9 +156,7 @@
             retryLost(record, "the daemon that knows the outcome cannot be reached", now, random, out);
             continue;
         }
-        out.push_back(take_back_call { address, record.attempt->id });
-        endAttempt(record, attempt_outcome::Unreachable, std::nullopt, now);
-        retryNotRun(record, notRun(refusal_reason::TargetUnreachable, retryAfterNoTargetMs), now, random, out);
+        retryUnreachable(record, now, random, out);
     }
     return out;
 }
@@ -160,9 +173,7 @@
         if (now >= record.deadline) {
             expire(record, now, out);
         } else if (attempt.state == attempt_state::Dispatched && now - attempt.dispatchedAt >= m_settings.linkTimeout) {
-            out.push_back(take_back_call { attempt.target.address, attempt.id });
-            endAttempt(record, attempt_outcome::Unreachable, std::nullopt, now);
-            retryNotRun(record, notRun(refusal_reason::TargetUnreachable, retryAfterNoTargetMs), now, random, out);
+            retryUnreachable(record, now, random, out);
         } else if (attempt.state == attempt_state::Asking && now - attempt.askedSince >= m_settings.queryTimeout) {
             retryLost(record, "the daemon that knows the outcome did not reply", now, random, out);
         }
@@ -217,7 +228,6 @@
     }
     attempt_identifier const identifier { record.request.id, ++m_lastAttempt, record.isKeyed() };
     ++record.attempts;
-    record.tried.insert(target->id);
     record.attempt = call_attempt { identifier.text(), *target, attempt_state::Dispatched, 0, now };
     m_attempts[record.attempt->id] = record.request.id;
     m_chooser.didSend(target->id, now);
@@ -245,33 +255,59 @@
     return call;
 }
 
-void call_client::endAttempt(
-    call_record& record, attempt_outcome outcome, std::optional<std::uint32_t> loadPermille, time_point now)
+void call_client::endAttempt(call_record& record, attempt_ending ending, time_point now)
 {
-    m_chooser.didEnd(record.attempt->target.id, outcome, loadPermille, now);
+    m_chooser.didEnd(record.attempt->target.id, ending.outcome, ending.loadPermille, now);
     m_attempts.erase(record.attempt->id);
     record.attempt.reset();
 }
 
-bool call_client::mayRetry(call_record const& record, time_point now)
+bool call_client::hasAttemptLeft(call_record const& record, time_point now) const
+{
+    return now < record.deadline && record.attempts < m_settings.maximumAttempts;
+}
+
+bool call_client::tryTakeBudget(call_record const& record, time_point now)
 {
-    if (now >= record.deadline || record.attempts >= m_settings.maximumAttempts)
-        return false;
     if (m_settings.retries == retry_policy::Always)
         return true;
     auto const budget = m_budgets.find(record.request.service);
     return budget != m_budgets.end() && budget->second.tryTake(now);
 }
 
-// The attempt has ended and was not run: tries elsewhere, or gives the refusal as the final answer.
-void call_client::retryNotRun(
-    call_record& record, call_not_run refusal, time_point now, generator& random, actions& out)
+// Whether a call that was proven not run is tried again after a refusal for the reason.
+bool call_client::isWorthRetry(
+    call_record const& record, refusal_reason reason, time_point now, generator& random) const
 {
-    bool const isFinal = refusal.reason == refusal_reason::HopLimit
-        || (record.isBoundToTarget()
-            && (isAboutLoad(refusal.reason) || refusal.reason == refusal_reason::TargetUnreachable));
-    // A choice is looked for first, so that no budget is spent where there is no other target.
-    if (isFinal || !chooseTarget(record, now, random) || !mayRetry(record, now)) {
+    if (reason == refusal_reason::HopLimit || !hasAttemptLeft(record, now))
+        return false;
+    auto const next = chooseTarget(record, now, random);
+    if (!next)
+        return false;
+    if (m_settings.retries == retry_policy::Always || isAboutRoute(reason))
+        return true;
+    // The one target that a keyed call may go to has just refused it.
+    if (record.isBoundToTarget())
+        return false;
+    // Where every other target is loaded too, a retry only adds to the load.
+    return !isAboutLoad(reason) || !m_chooser.isLoaded(*next, now);
+}
+
+// The attempt was not run: tries again, or gives the refusal as the final answer.
+void call_client::retryNotRun(
+    call_record& record, attempt_ending ending, call_not_run refusal, time_point now, generator& random, actions& out)
+{
+    // A keyed call stays with its target unless that is leaving: another ledger would not know an earlier run. One that
+    // only met a replaced connection may go to the same target again.
+    bool const isOver
+        = record.isBoundToTarget() ? isAboutLeaving(refusal.reason) : refusal.reason != refusal_reason::StaleGeneration;
+    if (isOver)
+        record.tried.insert(record.attempt->target.id);
+    endAttempt(record, ending, now);
+    bool const needsBudget = !isAboutRoute(refusal.reason);
+    if (!isWorthRetry(record, refusal.reason, now, random) || (needsBudget && !tryTakeBudget(record, now))) {
+        if (record.isKeyed())
+            refusal.message += "; this says nothing of earlier requests with the same key";
         complete(record, std::move(refusal), out);
         return;
     }
@@ -279,12 +315,22 @@
     send(record, now, random, out);
 }
 
+// The attempt waited for its link in vain: it was not sent.
+void call_client::retryUnreachable(call_record& record, time_point now, generator& random, actions& out)
+{
+    out.push_back(take_back_call { record.attempt->target.address, record.attempt->id });
+    retryNotRun(record, { attempt_outcome::Unreachable, std::nullopt },
+        notRun(refusal_reason::TargetUnreachable, retryAfterNoTargetMs), now, random, out);
+}
+
 // The attempt may have run: only an idempotent call is tried again.
 void call_client::retryLost(call_record& record, std::string message, time_point now, generator& random, actions& out)
 {
-    endAttempt(record, attempt_outcome::Lost, std::nullopt, now);
+    record.tried.insert(record.attempt->target.id);
+    endAttempt(record, { attempt_outcome::Lost, std::nullopt }, now);
     bool const isAllowed = record.entryPoint.isIdempotent || m_settings.retries == retry_policy::Always;
-    if (!isAllowed || !chooseTarget(record, now, random) || !mayRetry(record, now)) {
+    if (!isAllowed || !hasAttemptLeft(record, now) || !chooseTarget(record, now, random)
+        || !tryTakeBudget(record, now)) {
         message += "; it may have run: look at its effect before you repeat it";
         complete(record, call_outcome_unknown { std::move(message) }, out);
         return;
@@ -325,7 +371,7 @@
         out.push_back(take_back_call { address, attempt.id });
     else
         out.push_back(send_to_target { address, call_cancel { attempt.id } });
-    endAttempt(record, attempt_outcome::Refused, std::nullopt, now);
+    endAttempt(record, { attempt_outcome::Refused, std::nullopt }, now);
 }
 
 void call_client::handle(
@@ -337,7 +383,7 @@
         return;
     call_answered outcome { answer, record->attempt->target.id, record->attempts };
     outcome.answer.id = record->request.id;
-    endAttempt(*record, attempt_outcome::Answered, answer.loadPermille, now);
+    endAttempt(*record, { attempt_outcome::Answered, answer.loadPermille }, now);
     complete(*record, std::move(outcome), out);
 }
 
@@ -347,8 +393,8 @@
     auto* record = findByAttempt(refusal.id);
     if (!record || record->attempt->target.address != address)
         return;
-    endAttempt(*record, attempt_outcome::Refused, refusal.loadPermille, now);
-    retryNotRun(*record, notRun(refusal.reason, refusal.retryAfterMs), now, random, out);
+    retryNotRun(*record, { attempt_outcome::Refused, refusal.loadPermille },
+        notRun(refusal.reason, refusal.retryAfterMs), now, random, out);
 }
 
 void call_client::handle(
@@ -407,8 +453,8 @@
         retryLost(record, "the ledger that knew the call may have forgotten it", now, random, out);
         return;
     }
-    endAttempt(record, attempt_outcome::Refused, std::nullopt, now);
-    retryNotRun(record, notRun(refusal_reason::StaleGeneration, shortestRetryAfterMs), now, random, out);
+    retryNotRun(record, { attempt_outcome::Refused, std::nullopt },
+        notRun(refusal_reason::StaleGeneration, shortestRetryAfterMs), now, random, out);
 }
 
 // Acknowledgements are gathered until the next tick: they are in no haste, and one frame carries many.
--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -125,15 +125,23 @@
 
 private:
     using actions = std::vector<client_action>;
+    // What the end of an attempt shows about its target.
+    struct attempt_ending {
+        attempt_outcome outcome { attempt_outcome::Answered };
+        std::optional<std::uint32_t> loadPermille;
+    };
 
     call_record* findByAttempt(std::string const& attempt);
     bool joinInProgress(caller_request const&);
     std::optional<route_target> chooseTarget(call_record const&, time_point now, generator&) const;
     void send(call_record&, time_point now, generator&, actions&);
     call_request makeCall(call_record const&, route_target const&, time_point now) const;
-    void endAttempt(call_record&, attempt_outcome, std::optional<std::uint32_t> loadPermille, time_point now);
-    bool mayRetry(call_record const&, time_point now);
-    void retryNotRun(call_record&, call_not_run, time_point now, generator&, actions&);
+    void endAttempt(call_record&, attempt_ending, time_point now);
+    bool hasAttemptLeft(call_record const&, time_point now) const;
+    bool tryTakeBudget(call_record const&, time_point now);
+    bool isWorthRetry(call_record const&, refusal_reason, time_point now, generator&) const;
+    void retryNotRun(call_record&, attempt_ending, call_not_run, time_point now, generator&, actions&);
+    void retryUnreachable(call_record&, time_point now, generator&, actions&);
     void retryLost(call_record&, std::string message, time_point now, generator&, actions&);
     void complete(call_record&, final_outcome, actions&);
     void expire(call_record&, time_point now, actions&);
--- a/Libraries/LibRouting/routing_snapshot.cpp
+++ b/Libraries/LibRouting/routing_snapshot.cpp
@@ -38,10 +38,8 @@
     return literal;
 }
 
-bool isRoutable(member_record const& member, target_record const& target, configuration_set const& configuration)
+bool isLicensed(target_record const& target, configuration_set const& configuration)
 {
-    if (member.state != member_state::Alive || target.state != target_state::Ready)
-        return false;
     auto const service = configuration.services().find(target.service);
     if (service == configuration.services().end())
         return false;
@@ -49,6 +47,19 @@
     return std::find(licences.begin(), licences.end(), target.licence) != licences.end();
 }
 
+bool isRoutable(member_record const& member, target_record const& target, configuration_set const& configuration)
+{
+    return member.state == member_state::Alive && target.state == target_state::Ready
+        && isLicensed(target, configuration);
+}
+
+bool isLeaving(member_record const& member, target_record const& target, configuration_set const& configuration)
+{
+    bool const isMemberLeaving = member.state == member_state::Leaving && target.state == target_state::Ready;
+    bool const isDraining = member.state != member_state::Gone && target.state == target_state::Draining;
+    return (isMemberLeaving || isDraining) && isLicensed(target, configuration);
+}
+
 struct licence_claim {
     member_record const* member { nullptr };
     target_record const* target { nullptr };
@@ -116,14 +127,19 @@
         snapshot->m_services[name].configuration = service;
     for (auto const& [licence, holder] : highestClaims(membership)) {
         auto const& [member, target] = holder;
-        if (!isRoutable(*member, *target, configuration))
-            continue;
-        snapshot->m_services[target->service].targets.push_back(
-            { target->id, member->vm, member->zone, member->address, member->instance, target->slots });
+        route_target const route { target->id, member->vm, member->zone, member->address, member->instance,
+            target->slots };
+        if (isRoutable(*member, *target, configuration))
+            snapshot->m_services[target->service].targets.push_back(route);
+        else if (isLeaving(*member, *target, configuration))
+            snapshot->m_services[target->service].leaving.push_back(route);
     }
+    auto const isBefore = [](auto const& first, auto const& second) {
+        return first.id < second.id;
+    };
     for (auto& [name, service] : snapshot->m_services) {
-        std::sort(service.targets.begin(), service.targets.end(),
-            [](auto const& first, auto const& second) { return first.id < second.id; });
+        std::sort(service.targets.begin(), service.targets.end(), isBefore);
+        std::sort(service.leaving.begin(), service.leaving.end(), isBefore);
     }
     return snapshot;
 }
--- a/Libraries/LibRouting/routing_snapshot.h
+++ b/Libraries/LibRouting/routing_snapshot.h
@@ -30,6 +30,8 @@
 struct service_route {
     service_configuration configuration;
     std::vector<route_target> targets;
+    // Licensed targets that take no new calls but still know the keyed calls that they ran, in order of id.
+    std::vector<route_target> leaving;
 
     bool operator==(service_route const&) const = default;
 
--- a/Libraries/LibRouting/target_chooser.cpp
+++ b/Libraries/LibRouting/target_chooser.cpp
@@ -41,7 +41,7 @@
     std::copy_if(all.begin(), all.end(), std::back_inserter(local),
         [&](auto const* target) { return target->zone == m_settings.zone; });
     auto const* nearest = lesserOfTwo(local, now, random);
-    if (nearest && score(*nearest, now) <= m_settings.spillPermille)
+    if (nearest && !isLoaded(*nearest, now))
         return *nearest;
     auto const* anywhere = lesserOfTwo(all, now, random);
     bool const isNearestBetter = nearest && score(*nearest, now) <= score(*anywhere, now);
@@ -52,10 +52,15 @@
     std::set<std::string> const& tried, std::string const& key, key_affinity affinity, time_point now) const
 {
     candidates ranked;
-    for (auto const& target : service.targets) {
-        if (!tried.contains(target.id))
-            ranked.push_back(&target);
-    }
+    auto const addUntried = [&](std::vector<route_target> const& targets) {
+        for (auto const& target : targets) {
+            if (!tried.contains(target.id))
+                ranked.push_back(&target);
+        }
+    };
+    addUntried(service.targets);
+    if (affinity == key_affinity::Strict)
+        addUntried(service.leaving);
     if (ranked.empty())
         return std::nullopt;
     std::uint64_t const seed = hash64(key);
@@ -66,11 +71,16 @@
         return *ranked.front();
 
     auto const inUse = withoutEjected(ranked, now);
-    auto const light = std::find_if(inUse.begin(), inUse.end(),
-        [&](auto const* target) { return score(*target, now) <= m_settings.spillPermille; });
+    auto const light
+        = std::find_if(inUse.begin(), inUse.end(), [&](auto const* target) { return !isLoaded(*target, now); });
     return light == inUse.end() ? *inUse.front() : **light;
 }
 
+bool target_chooser::isLoaded(route_target const& target, time_point now) const
+{
+    return score(target, now) > m_settings.spillPermille;
+}
+
 void target_chooser::didSend(std::string const& target, time_point now)
 {
     auto const [seen, isNew] = m_observations.try_emplace(target);
--- a/Libraries/LibRouting/target_chooser.h
+++ b/Libraries/LibRouting/target_chooser.h
@@ -48,9 +48,11 @@
     std::optional<route_target> choose(
         service_route const&, std::set<std::string> const& tried, time_point now, generator&) const;
     // Chooses the same target for the same key at every daemon: the first of its order by rendezvous hash (Thaler and
-    // Ravishankar 1998) over the targets of all zones.
+    // Ravishankar 1998) over the targets of all zones. Strict includes targets that are leaving.
     std::optional<route_target> chooseForKey(service_route const&, std::set<std::string> const& tried,
         std::string const& key, key_affinity, time_point now) const;
+    // Whether the target is loaded above the share at which calls spill from it.
+    bool isLoaded(route_target const&, time_point now) const;
     void didSend(std::string const& target, time_point now);
     // An attempt has ended; load in thousandths of the slots, if its answer carried it.
     void didEnd(std::string const& target, attempt_outcome, std::optional<std::uint32_t> loadPermille, time_point now);
--- a/Tests/LibCalls/call_world.h
+++ b/Tests/LibCalls/call_world.h
@@ -34,7 +34,7 @@
     admission_policy admission { admission_policy::SlotsAndQueue };
     retry_policy retries { retry_policy::ProvenOrIdempotent };
     microseconds latency { 500 };
-    // Mean of the work of a call; it is exponentially distributed.
+    // Mean of the work of a call; it is evenly distributed between half and one and a half of it.
     milliseconds work { 20 };
     milliseconds reportWork { 100 };
     fault_rates faults;
