LibCalls: Tell refused callers a time that fits the load

Cause: refused callers were told the drain of a queue of three, some 10 ms, and came back all at once; before any service time was learnt, 1 ms. A target refused by its own daemon as unreachable counted as idle and drew every call. Entries were looked through at every tick, and the oldest answer was searched for among all of them.

Change: the time to come back covers those refused within the last second or so; TargetUnreachable counts towards ejection; expiry looks once a second; answers are dropped in order. Budgets of all services and gathered acknowledgements have classes of their own, so that call_client stays short. A budget begins with 10 retries, since a daemon that has just started meets failures too. Ruled out: a fixed time to come back, which is too long for a short peak and too short for a long one.

--- a/Libraries/LibCalls/admission_queue.cpp
+++ b/Libraries/LibCalls/admission_queue.cpp
@@ -1,6 +1,7 @@
 #include <LibCalls/admission_queue.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace merlinpier {
 
@@ -8,6 +9,11 @@
 
 // Weight of the newest service time in the moving mean.
 constexpr double learningShare = 0.1;
+// Refusals count towards the time to come back for about this long.
+constexpr double refusalMemorySeconds = 1;
+constexpr milliseconds longestRetryAfter { 5000 };
+// Told before any service time has been learnt.
+constexpr milliseconds unlearntRetryAfter { 100 };
 
 } // namespace
 
@@ -21,17 +27,17 @@
         // A free slot is given whatever the service time learnt so far: else a time that was learnt too long would
         // refuse every call and never be corrected.
         if (!m_limits.isUnlimited && now + m_limits.deadlineMargin >= request.deadline)
-            return { refuse(request.id, kind::RefuseDeadline) };
+            return { refuse(request.id, kind::RefuseDeadline, now) };
         start(request, now, decisions);
         return decisions;
     }
     auto const ahead = m_urgent.size() + (isReport ? m_reports.size() : 0);
     if (!canStillEnd(request, expectedWait(ahead), now))
-        return { refuse(request.id, kind::RefuseDeadline) };
+        return { refuse(request.id, kind::RefuseDeadline, now) };
     if (queued() >= m_limits.queueLimit) {
         if (isReport || m_reports.empty() || m_limits.queueLimit == 0)
-            return { refuse(request.id, kind::RefuseOverloaded) };
-        decisions.push_back(refuse(m_reports.back().id, kind::RefuseOverloaded));
+            return { refuse(request.id, kind::RefuseOverloaded, now) };
+        decisions.push_back(refuse(m_reports.back().id, kind::RefuseOverloaded, now));
         m_reports.pop_back();
     }
     (isReport ? m_reports : m_urgent).push_back(request);
@@ -101,10 +107,22 @@
     return m_serviceTimes[static_cast<std::size_t>(callClass)];
 }
 
-admission_decision admission_queue::refuse(std::string const& id, admission_decision::kind kind) const
+admission_decision admission_queue::refuse(std::string const& id, admission_decision::kind kind, time_point now)
 {
-    auto const drain = std::chrono::ceil<milliseconds>(expectedWait(queued()));
-    return { id, kind, std::max(drain, milliseconds(1)) };
+    return { id, kind, retryAfter(now) };
+}
+
+// The time that the target needs for the calls that wait and for those refused within the last second or so, as these
+// come back too. Without the latter, callers would be told the drain of a short queue, and return all at once.
+milliseconds admission_queue::retryAfter(time_point now)
+{
+    double const elapsed = std::chrono::duration<double>(now - m_refusedAt).count();
+    m_recentRefusals *= std::exp(-elapsed / refusalMemorySeconds);
+    auto const ahead = queued() + static_cast<std::size_t>(m_recentRefusals);
+    m_recentRefusals += 1;
+    m_refusedAt = now;
+    auto const drain = std::chrono::ceil<milliseconds>(expectedWait(ahead));
+    return drain > milliseconds(0) ? std::min(drain, longestRetryAfter) : unlearntRetryAfter;
 }
 
 void admission_queue::start(
@@ -129,12 +147,12 @@
 }
 
 void admission_queue::dropLate(
-    std::deque<admission_request>& queue, time_point now, std::vector<admission_decision>& decisions) const
+    std::deque<admission_request>& queue, time_point now, std::vector<admission_decision>& decisions)
 {
     std::erase_if(queue, [&](admission_request const& request) {
         if (canStillEnd(request, duration::zero(), now))
             return false;
-        decisions.push_back(refuse(request.id, admission_decision::kind::RefuseDeadline));
+        decisions.push_back(refuse(request.id, admission_decision::kind::RefuseDeadline, now));
         return true;
     });
 }
--- a/Libraries/LibCalls/admission_queue.h
+++ b/Libraries/LibCalls/admission_queue.h
@@ -80,10 +80,11 @@
     bool hasSlotFor(call_class) const;
     duration expectedWait(std::size_t callsAhead) const;
     duration serviceTimeOfRunning() const;
-    admission_decision refuse(std::string const& id, admission_decision::kind) const;
+    admission_decision refuse(std::string const& id, admission_decision::kind, time_point now);
+    milliseconds retryAfter(time_point now);
     void start(admission_request const&, time_point now, std::vector<admission_decision>&);
     void startWaiting(time_point now, std::vector<admission_decision>&);
-    void dropLate(std::deque<admission_request>&, time_point now, std::vector<admission_decision>&) const;
+    void dropLate(std::deque<admission_request>&, time_point now, std::vector<admission_decision>&);
     bool canStillEnd(admission_request const&, duration wait, time_point now) const;
     void learn(call_class, duration);
 
@@ -93,6 +94,9 @@
     std::deque<admission_request> m_urgent;
     std::deque<admission_request> m_reports;
     std::array<duration, callClasses> m_serviceTimes {};
+    // Refusals, each fading with time.
+    double m_recentRefusals { 0 };
+    time_point m_refusedAt {};
 };
 
 } // namespace merlinpier
--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -1,7 +1,7 @@
 #include <LibCalls/call_client.h>
 
 #include <LibCalls/attempt_identifier.h>
-#include <LibCalls/refusal_text.h>
+#include <LibCalls/refusal_rules.h>
 #include <algorithm>
 
 namespace merlinpier {
@@ -12,26 +12,6 @@
 constexpr std::uint32_t retryAfterNoTargetMs = 1000;
 constexpr std::uint32_t shortestRetryAfterMs = 1;
 
-bool isAboutLoad(refusal_reason reason)
-{
-    return reason == refusal_reason::Overloaded || reason == refusal_reason::DeadlineTooShort;
-}
-
-// The target is leaving for every first daemon, so that a key moves to the next target for all of them.
-bool isAboutLeaving(refusal_reason reason)
-{
-    return reason == refusal_reason::Draining || reason == refusal_reason::UnknownTarget
-        || reason == refusal_reason::Unlicensed;
-}
-
-// The route or the connection was out of date. Such refusals are few for each change, so that trying again needs no
-// budget.
-bool isAboutRoute(refusal_reason reason)
-{
-    return isAboutLeaving(reason) || reason == refusal_reason::OtherInstance
-        || reason == refusal_reason::StaleGeneration;
-}
-
 call_not_run notRun(refusal_reason reason, std::uint32_t retryAfterMs)
 {
     return { reason, std::max(retryAfterMs, shortestRetryAfterMs), refusalText(reason) };
@@ -49,11 +29,7 @@
 {
     m_snapshot = std::move(snapshot);
     m_chooser.setSnapshot(*m_snapshot, now);
-    for (auto const& [name, service] : m_snapshot->services()) {
-        auto const share = service.configuration.retryBudgetPermille;
-        m_budgets.try_emplace(name, share).first->second.setShare(share);
-    }
-    std::erase_if(m_budgets, [&](auto const& budget) { return !m_snapshot->service(budget.first); });
+    m_budgets.setSnapshot(*m_snapshot);
 }
 
 std::vector<client_action> call_client::start(caller_request request, time_point now, generator& random)
@@ -75,8 +51,7 @@
     }
     record.entryPoint = *entryPoint;
     record.deadline = now + std::min(entryPoint->deadline, record.request.remaining.value_or(entryPoint->deadline));
-    if (auto const budget = m_budgets.find(service->configuration.service); budget != m_budgets.end())
-        budget->second.didStartCall(now);
+    m_budgets.didStartCall(record.request.service, now);
     if (record.deadline <= now)
         complete(record, notRun(refusal_reason::DeadlineTooShort, shortestRetryAfterMs), out);
     else
@@ -101,6 +76,8 @@
     if (!record || record->attempt->target.address != address)
         return;
     auto& attempt = *record->attempt;
+    if (attempt.state == attempt_state::Dispatched)
+        ++m_outstanding[address];
     attempt.state = attempt_state::Sent;
     attempt.generation = generation;
     attempt.sentAt = now;
@@ -178,16 +155,15 @@
             retryLost(record, "the daemon that knows the outcome did not reply", now, random, out);
         }
     }
-    flushAcknowledgements(out);
+    for (auto& [address, frame] : m_acknowledgements.take())
+        out.push_back(send_to_target { address, std::move(frame) });
     return out;
 }
 
 std::size_t call_client::outstanding(std::string const& address) const
 {
-    std::size_t count = 0;
-    for (auto const& id : callsAt(address))
-        count += m_calls.at(id).attempt->state != attempt_state::Dispatched;
-    return count;
+    auto const found = m_outstanding.find(address);
+    return found == m_outstanding.end() ? 0 : found->second;
 }
 
 std::size_t call_client::unsettled() const { return m_calls.size(); }
@@ -257,8 +233,11 @@
 
 void call_client::endAttempt(call_record& record, attempt_ending ending, time_point now)
 {
-    m_chooser.didEnd(record.attempt->target.id, ending.outcome, ending.loadPermille, now);
-    m_attempts.erase(record.attempt->id);
+    auto const& attempt = *record.attempt;
+    if (attempt.state != attempt_state::Dispatched && --m_outstanding[attempt.target.address] == 0)
+        m_outstanding.erase(attempt.target.address);
+    m_chooser.didEnd(attempt.target.id, ending.outcome, ending.loadPermille, now);
+    m_attempts.erase(attempt.id);
     record.attempt.reset();
 }
 
@@ -269,10 +248,7 @@
 
 bool call_client::tryTakeBudget(call_record const& record, time_point now)
 {
-    if (m_settings.retries == retry_policy::Always)
-        return true;
-    auto const budget = m_budgets.find(record.request.service);
-    return budget != m_budgets.end() && budget->second.tryTake(now);
+    return m_settings.retries == retry_policy::Always || m_budgets.tryTake(record.request.service, now);
 }
 
 // Whether a call that was proven not run is tried again after a refusal for the reason.
@@ -377,7 +353,7 @@
 void call_client::handle(
     std::string const& address, call_answer const& answer, time_point now, generator&, actions& out)
 {
-    acknowledge(address, answer.id);
+    m_acknowledgements.add(address, answer.id);
     auto* record = findByAttempt(answer.id);
     if (!record || record->attempt->target.address != address)
         return;
@@ -393,14 +369,17 @@
     auto* record = findByAttempt(refusal.id);
     if (!record || record->attempt->target.address != address)
         return;
-    retryNotRun(*record, { attempt_outcome::Refused, refusal.loadPermille },
-        notRun(refusal.reason, refusal.retryAfterMs), now, random, out);
+    // A target that its own daemon cannot reach counts as failed, or it would look idle and draw every call.
+    bool const isTargetDown = refusal.reason == refusal_reason::TargetUnreachable;
+    auto const outcome = isTargetDown ? attempt_outcome::Unreachable : attempt_outcome::Refused;
+    retryNotRun(
+        *record, { outcome, refusal.loadPermille }, notRun(refusal.reason, refusal.retryAfterMs), now, random, out);
 }
 
 void call_client::handle(
     std::string const& address, call_lost const& lost, time_point now, generator& random, actions& out)
 {
-    acknowledge(address, lost.id);
+    m_acknowledgements.add(address, lost.id);
     auto* record = findByAttempt(lost.id);
     if (!record || record->attempt->target.address != address)
         return;
@@ -457,19 +436,6 @@
         notRun(refusal_reason::StaleGeneration, shortestRetryAfterMs), now, random, out);
 }
 
-// Acknowledgements are gathered until the next tick: they are in no haste, and one frame carries many.
-void call_client::acknowledge(std::string const& address, std::string const& attempt)
-{
-    m_acknowledgements[address].push_back(attempt);
-}
-
-void call_client::flushAcknowledgements(actions& out)
-{
-    for (auto& [address, ids] : m_acknowledgements)
-        out.push_back(send_to_target { address, call_acknowledge { std::move(ids) } });
-    m_acknowledgements.clear();
-}
-
 std::vector<std::string> call_client::callsAt(std::string const& address) const
 {
     std::vector<std::string> ids;
--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include <LibCalls/acknowledgement_batch.h>
 #include <LibCalls/call_record.h>
 #include <LibCalls/caller_request.h>
 #include <LibCore/generator.h>
 #include <LibCore/time.h>
-#include <LibRouting/retry_budget.h>
+#include <LibRouting/retry_budgets.h>
 #include <LibRouting/target_chooser.h>
 #include <LibWire/message.h>
 #include <map>
@@ -153,8 +154,6 @@
     void handle(std::string const& address, call_query_answer const&, time_point now, generator&, actions&);
     void handleStatus(std::string const& address, call_status const&, time_point now, generator&, actions&);
     void handleNeverAdmitted(call_record&, time_point now, generator&, actions&);
-    void acknowledge(std::string const& address, std::string const& attempt);
-    void flushAcknowledgements(actions&);
     std::vector<std::string> callsAt(std::string const& address) const;
 
     call_client_settings m_settings;
@@ -163,8 +162,10 @@
     std::map<std::string, call_record> m_calls;
     // The call of each attempt that has not ended.
     std::map<std::string, std::string> m_attempts;
-    std::map<std::string, retry_budget> m_budgets;
-    std::map<std::string, std::vector<std::string>> m_acknowledgements;
+    // Attempts sent and not ended, by address of the daemon.
+    std::map<std::string, std::size_t> m_outstanding;
+    retry_budgets m_budgets;
+    acknowledgement_batch m_acknowledgements;
     std::uint64_t m_lastAttempt { 0 };
     call_client_totals m_totals;
 };
--- a/Libraries/LibCalls/call_ledger.cpp
+++ b/Libraries/LibCalls/call_ledger.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr milliseconds expiryPeriod { 1000 };
+
 std::size_t bytesOf(call_answer const& answer)
 {
     std::size_t bytes = answer.body.size();
@@ -41,12 +43,14 @@
     return m_entries[call] = std::move(entry);
 }
 
-void call_ledger::finish(ledger_entry& entry, call_answer answer, time_point now)
+void call_ledger::finish(std::string const& call, call_answer answer, time_point now)
 {
+    auto& entry = m_entries.at(call);
     entry.state = run_state::Finished;
     entry.endedAt = now;
     m_answerBytes += bytesOf(answer);
     entry.answer = std::move(answer);
+    m_answered.push_back(call);
     dropOldestAnswers();
 }
 
@@ -77,6 +81,9 @@
 
 void call_ledger::expire(time_point now)
 {
+    if (now < m_nextExpiry)
+        return;
+    m_nextExpiry = now + expiryPeriod;
     std::vector<std::string> over;
     for (auto const& [call, entry] : m_entries) {
         if (entry.hasEnded() && now - entry.endedAt > entry.retention)
@@ -84,6 +91,7 @@
     }
     for (auto const& call : over)
         erase(call);
+    std::erase_if(m_answered, [&](auto const& call) { return !m_entries.contains(call); });
 }
 
 std::size_t call_ledger::unsettled() const
@@ -106,14 +114,11 @@
 // does not run.
 void call_ledger::dropOldestAnswers()
 {
-    while (m_answerBytes > m_maximumAnswerBytes) {
-        ledger_entry* oldest = nullptr;
-        for (auto& [call, entry] : m_entries) {
-            if (entry.answer && (!oldest || entry.endedAt < oldest->endedAt))
-                oldest = &entry;
-        }
-        if (!oldest)
-            return;
+    while (m_answerBytes > m_maximumAnswerBytes && !m_answered.empty()) {
+        auto* oldest = find(m_answered.front());
+        m_answered.pop_front();
+        if (!oldest || !oldest->answer)
+            continue;
         dropAnswer(*oldest);
         oldest->state = run_state::Expired;
     }
--- a/Libraries/LibCalls/call_ledger.h
+++ b/Libraries/LibCalls/call_ledger.h
@@ -3,6 +3,7 @@
 #include <LibCore/time.h>
 #include <LibWire/call_messages.h>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -49,11 +50,12 @@
     // The entry that the attempt waits for, if it does.
     ledger_entry* findWaiter(call_waiter const&, std::string const& call);
     ledger_entry& add(std::string const& call, ledger_entry);
-    void finish(ledger_entry&, call_answer, time_point now);
+    void finish(std::string const& call, call_answer, time_point now);
     void lose(ledger_entry&, time_point now);
     // The attempt needs the answer no more.
     void release(call_waiter const&, std::string const& call);
     void erase(std::string const& call);
+    // Drops entries whose retention is over. Looks at them once a second at most, so that it may be called often.
     void expire(time_point now);
 
     std::size_t size() const { return m_entries.size(); }
@@ -68,6 +70,9 @@
     std::size_t m_maximumAnswerBytes;
     std::size_t m_answerBytes { 0 };
     std::map<std::string, ledger_entry> m_entries;
+    // Calls in the order in which they were answered; some may have left the ledger since.
+    std::deque<std::string> m_answered;
+    time_point m_nextExpiry {};
 };
 
 } // namespace merlinpier
--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -233,7 +233,7 @@
     auto const decisions = m_queues[call.target].release(id, admission_queue::learning::Learn, now);
     answer.loadPermille = loadOf(call.target);
     answer.version = m_version;
-    m_ledger.finish(*entry, std::move(answer), now);
+    m_ledger.finish(id, std::move(answer), now);
     for (auto const& waiter : entry->waiters)
         reply(*entry, waiter, actions);
     if (entry->waiters.empty() && !entry->isKeyed)
--- a/Libraries/LibCalls/generation_fence.cpp
+++ b/Libraries/LibCalls/generation_fence.cpp
@@ -4,6 +4,12 @@
 
 namespace merlinpier {
 
+namespace {
+
+constexpr seconds expiryPeriod { 1 };
+
+} // namespace
+
 void generation_fence::raise(std::uint64_t instance, std::uint64_t generation, time_point now)
 {
     auto& origin = m_origins[instance];
@@ -26,6 +32,9 @@
 
 void generation_fence::expire(time_point now, duration retention)
 {
+    if (now < m_nextExpiry)
+        return;
+    m_nextExpiry = now + expiryPeriod;
     std::erase_if(m_origins, [&](auto const& origin) { return now - origin.second.lastHeard > retention; });
 }
 
--- a/Libraries/LibCalls/generation_fence.h
+++ b/Libraries/LibCalls/generation_fence.h
@@ -16,7 +16,8 @@
     void raise(std::uint64_t instance, std::uint64_t generation, time_point now);
     bool isStale(std::uint64_t instance, std::uint64_t generation) const;
     replay_window& window(std::uint64_t instance, time_point now);
-    // Forgets instances that have sent nothing for the retention time. It has to be far above the life of a frame.
+    // Forgets instances that have sent nothing for the retention time, which has to be far above the life of a frame.
+    // Looks at them once a second at most.
     void expire(time_point now, duration retention);
     std::size_t size() const { return m_origins.size(); }
 
@@ -28,6 +29,7 @@
     };
 
     std::map<std::uint64_t, origin_state> m_origins;
+    time_point m_nextExpiry {};
 };
 
 } // namespace merlinpier
--- a/Libraries/LibCalls/refusal_text.cpp
+++ b/Libraries/LibCalls/refusal_rules.cpp
@@ -1,4 +1,4 @@
-#include <LibCalls/refusal_text.h>
+#include <LibCalls/refusal_rules.h>
 
 namespace merlinpier {
 
@@ -29,4 +29,21 @@
     return "not run";
 }
 
+bool isAboutLoad(refusal_reason reason)
+{
+    return reason == refusal_reason::Overloaded || reason == refusal_reason::DeadlineTooShort;
+}
+
+bool isAboutLeaving(refusal_reason reason)
+{
+    return reason == refusal_reason::Draining || reason == refusal_reason::UnknownTarget
+        || reason == refusal_reason::Unlicensed;
+}
+
+bool isAboutRoute(refusal_reason reason)
+{
+    return isAboutLeaving(reason) || reason == refusal_reason::OtherInstance
+        || reason == refusal_reason::StaleGeneration;
+}
+
 } // namespace merlinpier
--- /dev/null
+++ b/Libraries/LibCalls/refusal_rules.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibWire/call_messages.h>
+
+namespace merlinpier {
+
+// Returns what a refusal means to the caller, and the remedy.
+char const* refusalText(refusal_reason);
+
+// Whether the target refused because of its load.
+bool isAboutLoad(refusal_reason);
+
+// Whether the target is leaving for every first daemon, so that a key moves to the next target for all of them.
+bool isAboutLeaving(refusal_reason);
+
+// Whether the route or the connection was out of date. Such refusals are few for each change, so that trying again
+// needs no budget.
+bool isAboutRoute(refusal_reason);
+
+} // namespace merlinpier
--- a/Libraries/LibRouting/retry_budget.cpp
+++ b/Libraries/LibRouting/retry_budget.cpp
@@ -8,13 +8,15 @@
 
 // Retries that a service may save up, so that a quiet hour does not pay for a storm.
 constexpr double maximumBalance = 20;
+// A daemon that has just started meets failures, too.
+constexpr double initialBalance = 10;
 
 } // namespace
 
 retry_budget::retry_budget(std::uint32_t sharePermille, std::uint32_t floorPerSecond)
     : m_sharePermille(sharePermille)
     , m_floorPerSecond(floorPerSecond)
-    , m_balance(floorPerSecond)
+    , m_balance(initialBalance)
 {
 }
 
--- a/Tests/LibCalls/call_world.cpp
+++ b/Tests/LibCalls/call_world.cpp
@@ -171,6 +171,8 @@
     for (auto const index : node.mapped()) {
         m_history[index].outcomes.push_back(completed.outcome);
         m_history[index].completedAt = m_now;
+        if (m_observer)
+            m_observer(call_history(m_history[index]));
     }
 }
 
--- a/Tests/LibCalls/call_world.h
+++ b/Tests/LibCalls/call_world.h
@@ -58,6 +58,8 @@
 
     // Starts a call at the client; the history is complete once run() is over.
     void startCall(std::size_t client, caller_request, bool isIdempotent);
+    // Called with each call that got its outcome.
+    void setObserver(std::function<void(call_history const&)> observer) { m_observer = std::move(observer); }
     void at(time_point, std::function<void()>);
     void run(time_point until);
 
@@ -130,6 +132,7 @@
     std::map<std::pair<std::size_t, std::size_t>, link> m_links;
     std::vector<call_history> m_history;
     std::map<std::string, int> m_runs;
+    std::function<void(call_history const&)> m_observer;
     std::size_t m_mostQueued { 0 };
 };
 
--- a/Tests/LibCalls/overload_test.cpp
+++ b/Tests/LibCalls/overload_test.cpp
@@ -116,6 +116,23 @@
     return load;
 }
 
+// Lets each caller that was refused come back once the time that it was told has passed, for up to five seconds.
+void comeBackWhenTold(call_world& world, load_settings const& load)
+{
+    auto firstSeen = std::make_shared<std::map<std::string, time_point>>();
+    world.setObserver([&world, load, firstSeen](call_history const& call) {
+        auto const* refused = std::get_if<call_not_run>(&call.outcomes.at(0));
+        auto const first = firstSeen->try_emplace(call.request.body, call.startedAt).first->second;
+        auto const back = refused ? world.now() + milliseconds(refused->retryAfterMs) : world.now();
+        if (!refused || back > first + seconds(5))
+            return;
+        world.at(back, [&world, load, request = call.request]() mutable {
+            request.id += "'";
+            world.startCall(uniformBelow(world.random(), load.world.clients), request, true);
+        });
+    });
+}
+
 } // namespace
 
 TEST(Overload, InteractiveGoodputStaysAtCapacity)
@@ -155,4 +172,25 @@
     EXPECT_LT(chosen.slowAnswer, drawn.slowAnswer);
 }
 
+TEST(Overload, CallersThatComeBackWhenToldDoNotAddToAPeak)
+{
+    auto load = makeLoad(2);
+    load.length = seconds(3);
+    call_world world(load.world);
+    comeBackWhenTold(world, load);
+    scheduleArrivals(world, load, 1800);
+    world.run(world.now() + seconds(20));
+    std::map<std::string, int> requests;
+    double answered = 0;
+    for (auto const& call : world.history()) {
+        ++requests[call.request.body];
+        answered += std::holds_alternative<call_answered>(call.outcomes.at(0));
+    }
+    double const requestsEach = static_cast<double>(world.history().size()) / requests.size();
+    std::cout << "peak of 3 s at 2x, callers come back when told: " << 100 * answered / requests.size()
+              << "% answered, " << requestsEach << " requests each\n";
+    EXPECT_GT(answered, 0.9 * requests.size());
+    EXPECT_LT(requestsEach, 4);
+}
+
 } // namespace merlinpier
