LibCalls: Leave late duplicates of admitted attempts unanswered

Cause: a duplicate that came late on a replaced connection was refused as StaleGeneration although its first copy ran, and the first daemon would have taken the call for not run. Found by reading; the trace late-duplicate-of-a-running-call failed with 'to 7: refused c#1 StaleGeneration' before the change. Ruled out: to refuse and let the first daemon find out, which the ledger would have rescued but for the last attempt.

--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -48,11 +48,16 @@
     m_version = std::max<std::uint64_t>(m_version, configuration.version());
     call_waiter const waiter { origin.instance, call.id };
     auto const attempt = parseAttemptIdentifier(call.id);
-    bool const isStale = m_fence.isStale(origin.instance, std::min(origin.generation, call.generation));
-    if (!attempt || isStale) {
+    if (!attempt) {
         refuse(waiter, call, refusal_reason::StaleGeneration, retryAfterRouteChange, now, actions);
         return actions;
     }
+    // A late duplicate of an attempt that was admitted must not be refused: its first daemon would take it for not run.
+    if (m_fence.isStale(origin.instance, std::min(origin.generation, call.generation))) {
+        if (!wasAdmitted(waiter, *attempt, now))
+            refuse(waiter, call, refusal_reason::StaleGeneration, retryAfterRouteChange, now, actions);
+        return actions;
+    }
     if (call.instance != m_settings.instance) {
         refuse(waiter, call, refusal_reason::OtherInstance, retryAfterRouteChange, now, actions);
         return actions;
@@ -78,6 +83,12 @@
     return actions;
 }
 
+bool call_server::wasAdmitted(call_waiter const& waiter, attempt_identifier const& attempt, time_point now)
+{
+    return m_ledger.findWaiter(waiter, attempt.call)
+        || m_fence.window(waiter.instance, now).look(attempt.number) == replay_window::verdict::Seen;
+}
+
 // Handles an attempt that has been here already: it is never admitted again.
 bool call_server::isKnownAttempt(call_origin const& origin, attempt_identifier const& attempt, call_request const& call,
     time_point now, std::vector<server_action>& actions)
--- a/Tests/LibCalls/call_property_test.cpp
+++ b/Tests/LibCalls/call_property_test.cpp
@@ -35,6 +35,8 @@
     settings.clients = *rc::gen::inRange<std::size_t>(1, 4);
     settings.targets = *rc::gen::inRange<std::size_t>(1, 4);
     settings.slots = *rc::gen::inRange<std::uint32_t>(1, 4);
+    settings.work = milliseconds(*rc::gen::inRange(5, 300));
+    settings.deadline = milliseconds(*rc::gen::inRange(300, 2000));
     settings.faults = anyFaults();
     settings.seed = *rc::gen::arbitrary<std::uint64_t>();
     return settings;
