--- a/Libraries/LibConfiguration/commit_session.h
+++ b/Libraries/LibConfiguration/commit_session.h
@@ -56,7 +56,8 @@
 // to be removed and does not exist; Unavailable the platform, which did not answer before the deadline; Corrupt an
 // object of the platform that is not what merlinpier wrote; Refused a platform whose head is older than the version
 // applied here. OutcomeUnknown, alone, if the head's update may have taken effect and could not be read back before the
-// deadline: the same submission, repeated with its identifier, finds out.
+// deadline: the same submission, repeated with its identifier, finds out. A repeat that ends with Unavailable has found
+// out nothing, so the outcome stays unknown; every other failure of a repeat proves that no attempt took effect.
 struct commit_failed {
     error reason;
     bool operator==(commit_failed const&) const = default;
