--- a/Tests/LibConfiguration/commit_history_test.cpp
+++ b/Tests/LibConfiguration/commit_history_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <limits>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
@@ -45,7 +46,8 @@
 
 void raceOn(std::vector<std::string> const& services)
 {
-    commit_race race(*rc::gen::resize(longestSchedule, rc::gen::arbitrary<std::vector<std::uint16_t>>()));
+    auto const choice = rc::gen::inRange<std::uint16_t>(0, std::numeric_limits<std::uint16_t>::max());
+    commit_race race(*rc::gen::resize(longestSchedule, rc::gen::container<std::vector<std::uint16_t>>(choice)));
     auto const operators = *rc::gen::inRange(2, 5);
     for (int number = 0; number < operators; ++number) {
         auto const base = *rc::gen::element(commit_race::base_choice::Seen, commit_race::base_choice::NotNamed);
--- a/Tests/LibConfiguration/commit_race.cpp
+++ b/Tests/LibConfiguration/commit_race.cpp
@@ -150,28 +150,32 @@
     ++owner.next;
 }
 
-store_fate commit_race::chooseFate(operation const& call)
+store_fate commit_race::chooseFate(operation const& call) const
 {
     if (m_step >= m_choices.size())
         return store_fate::Answered;
     bool const isWrite = std::holds_alternative<write_object>(call.action);
     switch (m_choices[m_step] & 15) {
     case 0:
+        return isWrite ? store_fate::AnswerLost : store_fate::Lost;
     case 1:
-        return isWrite ? store_fate::AnswerLost : store_fate::Unavailable;
+        return isWrite ? store_fate::LateEffect : store_fate::Lost;
     case 2:
-        return isWrite ? store_fate::LateEffect : store_fate::Unavailable;
+        return isWrite ? store_fate::Lost : store_fate::RateLimited;
     case 3:
-        return store_fate::Lost;
-    case 4:
         return store_fate::Unavailable;
-    case 5:
-        return store_fate::RateLimited;
     default:
         return store_fate::Answered;
     }
 }
 
+// Every now and then a daemon is paused for longer than any deadline before it sees an answer or a timer.
+bool commit_race::choosePause() const
+{
+    constexpr std::uint16_t pause = 0x3f;
+    return m_step < m_choices.size() && (m_choices[m_step] & pause) == pause;
+}
+
 void commit_race::advance(operation& call)
 {
     if (!call.hasFate) {
@@ -224,8 +228,7 @@
 void commit_race::deliver(operation const& call)
 {
     auto const owner = call.owner.lock();
-    // Every now and then the daemon is paused for longer than any deadline before it sees the answer.
-    if (m_step < m_choices.size() && (m_choices[m_step] & 15) == 14)
+    if (choosePause())
         m_now += sessionTime;
     // A session that has ended takes late answers without a word.
     auto const actions = std::holds_alternative<read_object>(call.action)
@@ -236,9 +239,7 @@
 
 void commit_race::fireTimer(operator_state& owner)
 {
-    // Likewise before a timer.
-    bool const isPaused = m_step < m_choices.size() && (m_choices[m_step] & 15) == 15;
-    m_now = std::max(m_now, isPaused ? owner.deadline : *owner.wakeAt);
+    m_now = std::max(m_now, choosePause() ? owner.deadline : *owner.wakeAt);
     owner.wakeAt.reset();
     perform(owner, owner.session->tick(m_now, m_generator));
 }
--- a/Tests/LibConfiguration/commit_race.h
+++ b/Tests/LibConfiguration/commit_race.h
@@ -75,7 +75,8 @@
     void takeEffect(operation&);
     void deliver(operation const&);
     void fireTimer(operator_state&);
-    store_fate chooseFate(operation const&);
+    store_fate chooseFate(operation const&) const;
+    bool choosePause() const;
     std::uint64_t currentRevision(std::string const& service) const;
     std::shared_ptr<configuration_set const> load(configuration_head const&) const;
 
--- /dev/null
+++ b/Tests/LibConfiguration/commit_session_test.cpp
@@ -0,0 +1,281 @@
+#include <LibConfiguration/commit_session.h>
+
+#include <LibCore/digest.h>
+#include <Tests/LibConfiguration/configuration_samples.h>
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+
+namespace merlinpier {
+
+namespace {
+
+// Carries sessions out against objects in memory, one call at a time; every call that fails is named by its key.
+class session_driver {
+public:
+    std::map<std::string, stored_object> objects;
+    // Calls that are answered with this error instead, as often as the number says.
+    std::map<std::string, std::pair<error_kind, int>> failures;
+    std::vector<std::string> reads;
+    std::vector<std::string> writes;
+    std::vector<duration> waits;
+
+    commit_action run(
+        submission request, duration allowed = seconds(10), std::shared_ptr<configuration_set const> known = nullptr)
+    {
+        commit_session session(std::move(request), m_now + allowed, std::move(known));
+        auto actions = session.start(m_now);
+        while (true) {
+            std::vector<commit_action> next;
+            for (auto const& action : actions) {
+                if (std::holds_alternative<commit_accepted>(action) || std::holds_alternative<commit_failed>(action))
+                    return action;
+                auto more = perform(session, action);
+                next.insert(next.end(), more.begin(), more.end());
+            }
+            actions = std::move(next);
+        }
+    }
+
+    accepted_submission accepted(submission const& request)
+    {
+        auto const outcome = run(request);
+        auto const* failed = std::get_if<commit_failed>(&outcome);
+        EXPECT_EQ(failed, nullptr) << failed->reason.text();
+        return failed ? accepted_submission() : std::get<commit_accepted>(outcome).accepted;
+    }
+
+    error failed(submission const& request, duration allowed = seconds(10))
+    {
+        auto const outcome = run(request, allowed);
+        EXPECT_TRUE(std::holds_alternative<commit_failed>(outcome));
+        return std::holds_alternative<commit_failed>(outcome) ? std::get<commit_failed>(outcome).reason : error();
+    }
+
+    std::shared_ptr<configuration_set const> current() const
+    {
+        auto const head = parseHead(objects.at(headKey).value).releaseValue();
+        auto const contents = parseManifest(objects.at(manifestKey(head.manifestDigest)).value).releaseValue();
+        std::vector<wire_fragment> fragments;
+        for (auto const& entry : contents.entries)
+            fragments.push_back({ entry.service, entry.digest, objects.at(fragmentKey(entry.digest)).value });
+        return configuration_set::tryCreate(contents, fragments).releaseValue();
+    }
+
+private:
+    std::vector<commit_action> perform(commit_session& session, commit_action const& action)
+    {
+        if (auto const* wait = std::get_if<wait_before_retry>(&action)) {
+            waits.push_back(wait->delay);
+            m_now += wait->delay;
+            return session.tick(m_now, m_generator);
+        }
+        if (auto const* wanted = std::get_if<read_object>(&action)) {
+            reads.push_back(wanted->key);
+            return session.didRead(wanted->key, read(wanted->key), m_now, m_generator);
+        }
+        auto const& written = std::get<write_object>(action);
+        writes.push_back(written.key);
+        return session.didWrite(written.key, write(written), m_now, m_generator);
+    }
+
+    bool shallFail(std::string const& key)
+    {
+        auto const found = failures.find(key);
+        return found != failures.end() && found->second.second-- > 0;
+    }
+
+    result<std::optional<stored_object>> read(std::string const& key)
+    {
+        if (shallFail("read " + key))
+            return error { failures["read " + key].first, "injected", "" };
+        auto const found = objects.find(key);
+        return found == objects.end() ? std::optional<stored_object>() : std::optional<stored_object>(found->second);
+    }
+
+    result<stored_object> write(write_object const& written)
+    {
+        if (shallFail("write " + written.key))
+            return error { failures["write " + written.key].first, "injected", "" };
+        auto const found = objects.find(written.key);
+        if (written.condition.expectedRevision.value() != (found == objects.end() ? 0 : found->second.revision))
+            return error { error_kind::Conflict, "the revision is another", "" };
+        stored_object const object { written.key, ++m_revision, written.value };
+        objects[written.key] = object;
+        if (shallFail("answer " + written.key))
+            return error { failures["answer " + written.key].first, "injected", "" };
+        return object;
+    }
+
+    time_point m_now {};
+    std::uint64_t m_revision { 0 };
+    generator m_generator { 1 };
+};
+
+submission submit(std::string const& id, questionnaire const& answers, std::optional<std::uint64_t> base = {})
+{
+    return { id, submission_kind::Submit, answers.service, answers, base };
+}
+
+submission removal(std::string const& id, std::string const& service, std::optional<std::uint64_t> base = {})
+{
+    return { id, submission_kind::Remove, service, {}, base };
+}
+
+} // namespace
+
+TEST(CommitSession, AcceptsTheExamplesOfBothDeploymentsOneAfterTheOther)
+{
+    for (auto const& [folder, order] :
+        std::map<std::string, std::vector<std::string>> { { "targowisko", { "zones", "slots", "bookings" } },
+            { "steadyhand", { "schedules", "jobdesk", "bookings" } } }) {
+        session_driver driver;
+        version_number version = 0;
+        for (auto const& name : order) {
+            auto const answers = exampleAnswers(folder + "/" + name).releaseValue();
+            auto const accepted = driver.accepted(submit("id-" + name, answers, 0));
+            EXPECT_EQ(accepted, (accepted_submission { "id-" + name, ++version, name, 1, answers.owner }));
+        }
+        EXPECT_EQ(driver.current()->services().size(), 3u);
+        EXPECT_EQ(driver.current()->service("bookings")->answers, exampleAnswers(folder + "/bookings").value());
+    }
+}
+
+TEST(CommitSession, WritesOnlyWhatIsNewAndReadsNoFragmentTheDaemonHolds)
+{
+    session_driver driver;
+    driver.accepted(submit("a", sampleAnswers("slots")));
+    driver.accepted(submit("b", sampleAnswers("zones")));
+    auto const known = driver.current();
+    driver.reads.clear();
+    driver.writes.clear();
+    auto changed = sampleAnswers("zones");
+    changed.slotsPerCopy = 7;
+    driver.run(submit("c", changed, 1), seconds(10), known);
+    auto const after = driver.current();
+    EXPECT_EQ(driver.reads, std::vector<std::string> { headKey });
+    std::vector<std::string> expected { fragmentKey(after->contents().entries[1].digest), manifestKey(after->digest()),
+        headKey };
+    EXPECT_EQ(driver.writes, expected);
+}
+
+TEST(CommitSession, RecognizesItsOwnCommitAfterALostAnswerAndAtARepeat)
+{
+    session_driver driver;
+    driver.failures["answer config/head"] = { error_kind::OutcomeUnknown, 1 };
+    auto const first = driver.accepted(submit("a", sampleAnswers("slots"), 0));
+    EXPECT_EQ(first.version, 1u);
+    driver.accepted(submit("b", sampleAnswers("zones"), 0));
+    // Hours later, and although its base is long gone, the repeat gets the first answer.
+    EXPECT_EQ(driver.accepted(submit("a", sampleAnswers("slots"), 0)), first);
+    EXPECT_EQ(driver.current()->version(), 2u);
+    EXPECT_EQ(driver.failed(submit("a", sampleAnswers("bookings"))).kind, error_kind::BadInput);
+}
+
+TEST(CommitSession, RemembersABoundedNumberOfSubmissions)
+{
+    session_driver driver;
+    for (std::size_t number = 0; number <= rememberedSubmissions; ++number)
+        driver.accepted(submit("id-" + std::to_string(number), sampleAnswers("slots"), number));
+    auto const head = parseHead(driver.objects.at(headKey).value).value();
+    EXPECT_EQ(head.recent.size(), rememberedSubmissions);
+    EXPECT_FALSE(head.remembers(1));
+    EXPECT_TRUE(head.remembers(2));
+    EXPECT_EQ(driver.accepted(submit("id-1", sampleAnswers("slots"), 1)).version, 2u);
+    // The one that was forgotten is met as new and conflicts with what followed it.
+    EXPECT_EQ(driver.failed(submit("id-0", sampleAnswers("slots"), 0)).kind, error_kind::Conflict);
+}
+
+TEST(CommitSession, BacksOffWhileThePlatformIsDownOrLimitsItsRate)
+{
+    for (auto const kind : { error_kind::Unavailable, error_kind::RateLimited, error_kind::DeadlineExceeded }) {
+        session_driver driver;
+        driver.failures["read config/head"] = { kind, 4 };
+        driver.failures["write config/head"] = { kind, 2 };
+        EXPECT_EQ(driver.accepted(submit("a", sampleAnswers("slots"))).version, 1u);
+        EXPECT_EQ(driver.waits.size(), 6u);
+        // Bounded by 50, 100, 200 and 400 ms for four failures in a row.
+        for (std::size_t number = 0; number < 4; ++number)
+            EXPECT_LE(driver.waits[number], milliseconds(50 << number));
+    }
+}
+
+TEST(CommitSession, GivesUpAtItsDeadlineAndSaysWhetherItMayHaveCommitted)
+{
+    constexpr int always = 1000000;
+    session_driver down;
+    down.failures["read config/head"] = { error_kind::Unavailable, always };
+    EXPECT_EQ(down.failed(submit("a", sampleAnswers("slots"))).kind, error_kind::Unavailable);
+    EXPECT_LT(down.waits.size(), 100u);
+
+    session_driver lost;
+    lost.failures["answer config/head"] = { error_kind::OutcomeUnknown, 1 };
+    lost.accepted(submit("z", sampleAnswers("zones")));
+    lost.failures["answer config/head"] = { error_kind::OutcomeUnknown, 1 };
+    // Only the first reading of the head succeeds.
+    commit_session session(submit("b", sampleAnswers("slots")), time_point() + seconds(1));
+    generator source(1);
+    session.start(time_point());
+    auto const readHead = session.didRead(headKey, std::optional<stored_object>(), time_point(), source);
+    for (auto const& action : readHead) {
+        auto const& key = std::get<write_object>(action).key;
+        session.didWrite(key, stored_object { key, 1, "" }, time_point(), source);
+    }
+    auto const outcome = session.tick(time_point() + seconds(1), source);
+    ASSERT_EQ(outcome.size(), 1u);
+    EXPECT_EQ(std::get<commit_failed>(outcome[0]).reason.kind, error_kind::OutcomeUnknown);
+    EXPECT_TRUE(session.didWrite(headKey, stored_object { headKey, 2, "" }, time_point(), source).empty());
+}
+
+TEST(CommitSession, RefusesAChangeThatBreaksTheWholeAndChangesNothing)
+{
+    session_driver driver;
+    auto bookings = sampleAnswers("bookings");
+    bookings.dependencies = { "slots" };
+    EXPECT_NE(driver.failed(submit("a", bookings)).message.find("depends on \"slots\""), std::string::npos);
+    EXPECT_TRUE(driver.objects.empty());
+    driver.accepted(submit("b", sampleAnswers("slots")));
+    driver.accepted(submit("c", bookings));
+    auto const before = driver.objects;
+    auto const refused = driver.failed(removal("d", "slots", 1));
+    EXPECT_EQ(refused.kind, error_kind::BadInput);
+    EXPECT_NE(refused.message.find("bookings"), std::string::npos);
+    EXPECT_EQ(driver.failed(removal("e", "zones")).kind, error_kind::NotFound);
+    EXPECT_EQ(driver.failed(removal("f", "bookings", 7)).kind, error_kind::Conflict);
+    EXPECT_EQ(driver.failed(submit("no id!", sampleAnswers("zones"))).kind, error_kind::BadInput);
+    EXPECT_EQ(driver.objects, before);
+}
+
+TEST(CommitSession, AServiceSubmittedAnewNeverShowsARevisionOfTheRemovedOne)
+{
+    session_driver driver;
+    driver.accepted(submit("a", sampleAnswers("slots"), 0));
+    driver.accepted(submit("b", sampleAnswers("slots"), 1));
+    EXPECT_EQ(driver.accepted(removal("c", "slots", 2)).revision, 3u);
+    EXPECT_EQ(driver.accepted(submit("d", sampleAnswers("slots"), 0)).revision, 4u);
+    EXPECT_EQ(driver.failed(submit("e", sampleAnswers("slots"), 1)).kind, error_kind::Conflict);
+}
+
+TEST(CommitSession, RefusesAPlatformThatIsDamagedOrOlderThanWhatIsInForce)
+{
+    session_driver driver;
+    driver.accepted(submit("a", sampleAnswers("slots")));
+    auto const older = driver.objects;
+    driver.accepted(submit("b", sampleAnswers("zones")));
+    auto const known = driver.current();
+    auto const fragment = fragmentKey(known->contents().entries[0].digest);
+    auto const newest = driver.objects;
+    for (auto const& key : { std::string(headKey), manifestKey(known->digest()), fragment }) {
+        driver.objects[key].value += " ";
+        if (key == headKey)
+            driver.objects[key].value = "{\"version\":1}";
+        EXPECT_EQ(driver.failed(submit("c", sampleAnswers("bookings"))).kind, error_kind::Corrupt) << key;
+        driver.objects = newest;
+    }
+    driver.objects = older;
+    auto const outcome = driver.run(submit("c", sampleAnswers("bookings")), seconds(10), known);
+    EXPECT_EQ(std::get<commit_failed>(outcome).reason.kind, error_kind::Refused);
+}
+
+} // namespace merlinpier
