--- /dev/null
+++ b/Tests/LibOperator/operator_commands_test.cpp
@@ -0,0 +1,181 @@
+#include <LibOperator/operator_commands.h>
+
+#include <LibConfiguration/service_configuration.h>
+#include <LibConfiguration/submission_json.h>
+#include <LibOperator/text_report.h>
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace merlinpier {
+
+namespace {
+
+// Answers requests from a script, in order, and keeps what was asked; the last answer stays.
+class scripted_http_client final : public http_client {
+public:
+    std::deque<result<http_response>> answers;
+    std::vector<http_client_request> requests;
+
+    http_exchange_id send(http_client_request request, http_callback callback) override
+    {
+        requests.push_back(std::move(request));
+        auto answer = answers.front();
+        if (answers.size() > 1)
+            answers.pop_front();
+        callback(std::move(answer));
+        return requests.size();
+    }
+    void cancel(http_exchange_id) override { }
+};
+
+// Time that passes only by sleeping.
+class stepped_clock final : public operator_clock {
+public:
+    time_point now() override { return m_now; }
+    void sleep(duration time) override { m_now += time; }
+
+private:
+    time_point m_now {};
+};
+
+error unreachable() { return { error_kind::Unavailable, "connection refused", "" }; }
+error timedOut() { return { error_kind::OutcomeUnknown, "timed out", "" }; }
+http_response ok(std::string body) { return jsonResponse(200, std::move(body)); }
+http_response refused(error const& failure) { return jsonResponse(httpStatus(failure.kind), serializeError(failure)); }
+
+http_response acceptedAnswer() { return ok(serializeAccepted({ "id-1", 7, "slots", 3, "owner" })); }
+
+http_response statusAnswer(bool isInForce)
+{
+    std::string const applied = isInForce ? "7" : "6";
+    std::string const behind = isInForce ? "" : "\"vm-b\"";
+    return ok(R"({"version":7,"applied":7,"asked":7,"in_force":)" + std::string(isInForce ? "true" : "false")
+        + R"(,"members":[{"vm":"vm-a","zone":"a","state":"alive","applied_version":7,"refused_version":0,)"
+          R"("refused_reason":""},{"vm":"vm-b","zone":"b","state":"alive","applied_version":)"
+        + applied + R"(,"refused_version":8,"refused_reason":"no such licence"}],"behind":[)" + behind
+        + R"(],"silent":["vm-c"],"zones":[{"zone":"a","members":1,"applied":7,"reachable":true},)"
+          R"({"zone":"c","members":1,"applied":5,"reachable":false}],"platform":{"reachable":false,"silent_ms":900}})");
+}
+
+class OperatorCommandsTest : public testing::Test {
+protected:
+    exit_code run(std::function<exit_code(operator_commands&)> const& command,
+        std::deque<result<http_response>> answers, output_format format = output_format::Text)
+    {
+        m_http.answers = std::move(answers);
+        m_http.requests.clear();
+        m_output.str("");
+        m_errors.str("");
+        daemon_client client(m_http, { "10.0.0.1:80", "10.0.0.2:80" });
+        operator_commands commands(client, m_clock, m_generator, m_output, m_errors, format);
+        return command(commands);
+    }
+
+    exit_code submit(std::deque<result<http_response>> answers, change_options const& options = {})
+    {
+        return run([&](auto& commands) { return commands.submit(questionnaireTemplate("slots"), options); },
+            std::move(answers));
+    }
+
+    std::string sentId(std::size_t request) const { return parseSubmission(m_http.requests[request].body).value().id; }
+
+    bool hasError(std::string const& part) const { return m_errors.str().find(part) != std::string::npos; }
+
+    scripted_http_client m_http;
+    stepped_clock m_clock;
+    generator m_generator { 1 };
+    std::ostringstream m_output;
+    std::ostringstream m_errors;
+};
+
+} // namespace
+
+TEST_F(OperatorCommandsTest, AsksTheNextDaemonOnlyIfOneCannotBeReached)
+{
+    EXPECT_EQ(submit({ unreachable(), acceptedAnswer() }), exit_code::Success);
+    ASSERT_EQ(m_http.requests.size(), 2u);
+    EXPECT_EQ(m_http.requests[0].url, "http://10.0.0.1:80/config/submissions");
+    EXPECT_EQ(m_http.requests[1].url, "http://10.0.0.2:80/config/submissions");
+    EXPECT_EQ(m_http.requests[0].reuse, connection_reuse::Forbidden);
+    EXPECT_EQ(sentId(0), sentId(1));
+    EXPECT_EQ(sentId(0).size(), 32u);
+
+    EXPECT_EQ(submit({ refused({ error_kind::Conflict, "now at revision 3", "look" }) }), exit_code::Conflict);
+    EXPECT_EQ(submit({ refused({ error_kind::Unavailable, "platform down", "" }) }), exit_code::Unavailable);
+    EXPECT_EQ(m_http.requests.size(), 1u);
+    EXPECT_EQ(submit({ unreachable() }), exit_code::Unavailable);
+    EXPECT_EQ(m_http.requests.size(), 2u);
+    EXPECT_TRUE(hasError("no daemon could be reached of 10.0.0.1:80, 10.0.0.2:80"));
+}
+
+TEST_F(OperatorCommandsTest, RepeatsAnUnknownOutcomeWithTheSameIdentifier)
+{
+    EXPECT_EQ(submit({ timedOut(), refused({ error_kind::OutcomeUnknown, "lost", "" }), acceptedAnswer() }),
+        exit_code::Success);
+    ASSERT_EQ(m_http.requests.size(), 3u);
+    EXPECT_EQ(sentId(0), sentId(2));
+
+    // A daemon that cannot be asked any more leaves the outcome unknown; a refusal after it settles the matter.
+    EXPECT_EQ(submit({ timedOut(), unreachable() }), exit_code::OutcomeUnknown);
+    EXPECT_TRUE(hasError("--id " + sentId(0)));
+    EXPECT_EQ(submit({ timedOut(), refused({ error_kind::Conflict, "taken", "" }) }), exit_code::Conflict);
+
+    change_options options;
+    options.id = "id-of-before";
+    options.baseRevision = 2;
+    EXPECT_EQ(submit({ acceptedAnswer() }, options), exit_code::Success);
+    EXPECT_EQ(sentId(0), "id-of-before");
+    EXPECT_EQ(parseSubmission(m_http.requests[0].body).value().baseRevision, 2u);
+}
+
+TEST_F(OperatorCommandsTest, WaitsUntilInForceAndNamesWhoIsBehind)
+{
+    change_options options;
+    options.waitsUntilInForce = true;
+    EXPECT_EQ(submit({ acceptedAnswer(), statusAnswer(false), unreachable(), statusAnswer(true) }, options),
+        exit_code::Success);
+    EXPECT_EQ(m_http.requests.back().url, "http://10.0.0.2:80/status?version=7");
+    EXPECT_TRUE(hasError("version 7: applied by 1 of 2 live daemons; behind: vm-b; silent: vm-c"));
+
+    auto const wait = [](operator_commands& commands) {
+        return commands.waitUntilInForce(7, seconds(5));
+    };
+    EXPECT_EQ(run(wait, { statusAnswer(false) }), exit_code::WaitTimedOut);
+    for (auto const* part : { "version 7 is not in force", "behind: vm-b", "silent: vm-c", "cannot be reached",
+             "vm-b refused version 8: no such licence", "has not answered for 900 ms" })
+        EXPECT_NE(m_output.str().find(part), std::string::npos) << part << "\n" << m_output.str();
+    EXPECT_EQ(run(wait, { unreachable() }), exit_code::Unavailable);
+    EXPECT_EQ(run(wait, { ok("{}") }), exit_code::Refused);
+}
+
+TEST_F(OperatorCommandsTest, PrintsOneJsonLineForScripts)
+{
+    auto const showAll = [](operator_commands& commands) {
+        return commands.showAll();
+    };
+    std::string const body = R"({"version":1,"services":[{"service":"a","revision":1,"owner":"o","digest":"d"}]})";
+    EXPECT_EQ(run(showAll, { ok(body) }, output_format::Json), exit_code::Success);
+    EXPECT_EQ(m_output.str(), body + "\n");
+    EXPECT_EQ(run(showAll, { unreachable() }, output_format::Json), exit_code::Unavailable);
+    EXPECT_EQ(parseError(m_output.str()).kind, error_kind::Unavailable);
+    EXPECT_EQ(m_errors.str(), "");
+    EXPECT_EQ(run(showAll, { ok(body) }), exit_code::Success);
+    EXPECT_NE(m_output.str().find("revision 1"), std::string::npos);
+    EXPECT_EQ(run(showAll, { ok(R"({"version":1,"services":[{}]})") }), exit_code::Refused);
+}
+
+TEST_F(OperatorCommandsTest, ShowsAnswersThatCanBeSubmittedAgain)
+{
+    auto const answers = parseQuestionnaire(questionnaireTemplate("slots")).value();
+    auto const detail = ok(serializeServiceDetail(generateService(answers, 4)));
+    EXPECT_EQ(run([](auto& commands) { return commands.showAnswers("slots"); }, { detail }), exit_code::Success);
+    EXPECT_EQ(parseQuestionnaire(m_output.str()).value(), answers);
+    EXPECT_EQ(run([](auto& commands) { return commands.show("../x y"); }, { detail }), exit_code::Success);
+    EXPECT_EQ(m_http.requests[0].url, "http://10.0.0.1:80/config/services/..%2Fx%20y");
+    EXPECT_EQ(run([](auto& commands) { return commands.checkOffline("{}"); }, {}), exit_code::Refused);
+    EXPECT_TRUE(hasError("\"service\" of the answers is missing"));
+}
+
+} // namespace merlinpier
