LibDistribution: Test the distributor and complete deltas that came early

Cause: IgnoresLateCrossedAndRepeatedAnswers failed: a delta that came before the version it builds on stayed unapplied until the next event, although applying that version made it complete. Ruled out: dropping such a delta and asking again, which costs a round trip.

Change: after each applied version the assembly of a higher one is looked at again; the tests drive nine daemons of three zones through a queue that loses, repeats and reorders.

--- a/Libraries/LibDistribution/distributor.cpp
+++ b/Libraries/LibDistribution/distributor.cpp
@@ -296,10 +296,14 @@
     if (m_store.apply(created.releaseValue()).isError())
         return;
     m_requests.settle(version);
-    if (m_assembly)
-        m_assembly->rebase(m_store.applied());
     actions.emplace_back(version_applied { m_store.applied() });
     handOn(actions, *previous, fromAddress);
+    if (m_assembly) {
+        // A delta against the version just applied may have come before it.
+        m_assembly->rebase(m_store.applied());
+        if (m_assembly->isComplete())
+            finish(actions, version_assembly(*m_assembly), {}, now);
+    }
     continueRequests(actions, now);
 }
 
--- /dev/null
+++ b/Tests/LibDistribution/exchange.cpp
@@ -0,0 +1,149 @@
+#include "exchange.h"
+
+#include <LibCore/digest.h>
+#include <Tests/LibConfiguration/configuration_samples.h>
+
+namespace merlinpier {
+
+distributor& exchange::start(std::string const& address, distribution_peers peers, distribution_mode mode)
+{
+    auto chosen = settings;
+    chosen.mode = mode;
+    auto& place = m_daemons[address];
+    place = { std::make_unique<distributor>(chosen), std::move(peers) };
+    place.distributor->setPeers(place.peers);
+    applied[address].clear();
+    openWatches[address] = 0;
+    return *place.distributor;
+}
+
+version_number exchange::commit(std::vector<questionnaire> const& answers)
+{
+    // The revision is that of the last change to the answers, so that what does not change keeps its digest.
+    std::vector<wire_fragment> fragments;
+    manifest contents;
+    contents.version = m_head.version + 1;
+    for (auto const& each : answers) {
+        auto const fragment = fragmentsOf({ each }, 1).at(0);
+        contents.entries.push_back({ each.service, 1, fragment.digest });
+        m_objects[fragmentKey(fragment.digest)] = { fragmentKey(fragment.digest), 1, fragment.content };
+    }
+    auto const content = serializeManifest(contents);
+    auto const digest = contentDigest(content);
+    m_objects[manifestKey(digest)] = { manifestKey(digest), 1, content };
+    m_head = m_head.next(digest, { "id" + std::to_string(contents.version), contents.version, "slots", 1, "team" });
+    m_objects[headKey] = { headKey, contents.version, serializeHead(m_head) };
+    return contents.version;
+}
+
+void exchange::run(duration time)
+{
+    constexpr milliseconds step { 10 };
+    for (auto const end = now + time; now < end; now += step) {
+        while (!m_underway.empty() && m_underway.begin()->first <= now) {
+            auto const [address, event] = std::move(m_underway.begin()->second);
+            m_underway.erase(m_underway.begin());
+            if (auto found = m_daemons.find(address); found != m_daemons.end())
+                perform(address, event(*found->second.distributor));
+        }
+        if (now >= m_nextShow)
+            showVersions();
+        for (auto const& [address, daemon] : m_daemons)
+            perform(address, daemon.distributor->tick(now, m_source));
+    }
+}
+
+void exchange::showVersions()
+{
+    m_nextShow = now + seconds(1);
+    for (auto const& [address, daemon] : m_daemons) {
+        auto reportsTo = daemon.peers.relays;
+        reportsTo.insert(reportsTo.end(), daemon.peers.remoteRelays.begin(), daemon.peers.remoteRelays.end());
+        for (auto const& relay : reportsTo) {
+            if (!m_daemons.contains(relay) || isCut(address, relay))
+                continue;
+            auto const show = [this](std::string const& from, std::string const& to) {
+                auto const version = at(from).store().applied()->version();
+                if (version > at(to).store().applied()->version())
+                    schedule(
+                        to, milliseconds(1), [=, this](auto& it) { return it.didHearVersion(from, version, now); });
+            };
+            show(address, relay);
+            show(relay, address);
+        }
+    }
+}
+
+void exchange::perform(std::string const& address, std::vector<distribution_action> const& actions)
+{
+    for (auto const& action : actions) {
+        if (auto const* send = std::get_if<send_message>(&action))
+            this->send(address, *send);
+        if (auto const* watch = std::get_if<watch_platform>(&action)) {
+            platformCalls[address].emplace_back("watch");
+            ++openWatches[address];
+            this->watch(address, *watch, now + watch->wait);
+        }
+        if (auto const* read = std::get_if<read_platform>(&action)) {
+            platformCalls[address].push_back(read->key);
+            schedule(address, milliseconds(3), [=, this, key = read->key](auto& it) {
+                return it.didReadPlatform(key, readObject(address, key), now, m_source);
+            });
+        }
+        if (auto const* taken = std::get_if<version_applied>(&action))
+            applied[address].push_back(taken->set->version());
+        if (auto const* refusal = std::get_if<version_refused>(&action))
+            refused[address].push_back(*refusal);
+    }
+}
+
+void exchange::schedule(std::string const& address, duration delay, event event)
+{
+    m_underway.emplace(now + delay, std::make_pair(address, std::move(event)));
+}
+
+void exchange::send(std::string const& from, send_message const& sent)
+{
+    if (isCut(from, sent.address) || uniformUnit(m_source) < lossShare)
+        return;
+    for (int copies = uniformUnit(m_source) < repeatShare ? 2 : 1; copies > 0; --copies) {
+        auto const delay = microseconds(uniformBelow(m_source, 1 + microseconds(longestDelay).count()));
+        schedule(sent.address, delay, [=, this](auto& it) {
+            received[sent.address].push_back(sent.content);
+            return it.didReceive(from, sent.content, now);
+        });
+    }
+}
+
+void exchange::watch(std::string const& address, watch_platform const& watch, time_point until)
+{
+    schedule(address, milliseconds(10), [=, this](auto& it) {
+        auto const found = readObject(address, headKey);
+        bool const isNews = found.isError() || (found.value() && found.value()->revision > watch.afterRevision);
+        if (!isNews && now < until) {
+            this->watch(address, watch, until);
+            return std::vector<distribution_action>();
+        }
+        --openWatches[address];
+        return it.didWatchPlatform(found, now, m_source);
+    });
+}
+
+result<std::optional<stored_object>> exchange::readObject(std::string const& address, std::string const& key) const
+{
+    if (isCutFromPlatform(address))
+        return error { error_kind::Unavailable, "the platform does not answer", "wait" };
+    auto const found = m_objects.find(key);
+    return found == m_objects.end() ? std::optional<stored_object>() : found->second;
+}
+
+bool exchange::allHave(version_number version) const
+{
+    for (auto const& [address, daemon] : m_daemons) {
+        if (daemon.distributor->store().applied()->version() != version)
+            return false;
+    }
+    return true;
+}
+
+} // namespace merlinpier
