--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -9,6 +9,8 @@
 
 // A peer that leaves a heartbeat unanswered for this many periods is not answering.
 constexpr int unansweredPeriods = 2;
+// How often what needs a look at every record is reviewed.
+constexpr milliseconds reviewPeriod { 100 };
 // How many records one message holds at most.
 constexpr std::size_t recordsPerUpdate = 128;
 // A daemon that finds nobody by its seeds for this many suspicion timeouts begins to relay for itself.
@@ -65,13 +67,16 @@
     if (!m_startedAt)
         m_startedAt = now;
     actions actions;
-    m_peers.expire(now, m_settings.goneRetention);
-    m_peers.avoidUnanswering(now, m_settings.heartbeatPeriod * unansweredPeriods);
-    m_table.expire(now, m_settings.goneRetention);
-    refreshRanking();
+    if (now >= m_nextReview) {
+        m_nextReview = now + reviewPeriod;
+        m_peers.expire(now, m_settings.goneRetention);
+        m_peers.avoidUnanswering(now, m_settings.heartbeatPeriod * unansweredPeriods);
+        m_table.expire(now, m_settings.goneRetention);
+        refreshRanking();
+        judgeSilence(actions, now);
+    }
     join(actions, now, source);
     sendHeartbeats(actions, now, source);
-    judgeSilence(actions, now);
     flush(actions, now);
     return actions;
 }
@@ -84,12 +89,14 @@
         return;
     }
     m_joins.didJoin();
+    if (!m_joins.isStrangerDue(now, source))
+        return;
     std::vector<std::string> known;
     for (auto const& [zone, members] : m_ranking) {
         for (auto const& member : members)
             known.push_back(member.address);
     }
-    if (auto seed = m_joins.nextStranger(known, now, source))
+    if (auto seed = m_joins.nextStranger(known))
         introduce(actions, *seed);
 }
 
@@ -227,7 +234,10 @@
         m_peers.avoidUntil(from, now + milliseconds(answer.retryAfterMs));
     if (answer.highestKnownVersion > m_appliedHere)
         actions.emplace_back(version_heard { from, answer.highestKnownVersion });
-    bool const needsRepair = m_peers.needsRepair(from, answer.tableDigest != m_table.digest());
+    bool const differs = answer.tableDigest != m_table.digest();
+    // Daemons that start together introduce themselves to each other before any of them knows the others.
+    m_hasJoined |= !differs;
+    bool const needsRepair = m_peers.needsRepair(from, differs);
     if (needsRepair && m_peers.takeDigestTurn(from, now, m_settings.repairPeriod))
         actions.emplace_back(send_message { from, membership_digest { m_table.bucketDigests() } });
 }
@@ -253,7 +263,6 @@
             m_silence.didHear(record.vm, now);
     }
     if (!changed.empty()) {
-        m_hasJoined = true;
         refreshRanking();
         actions.emplace_back(membership_changed { std::move(changed) });
     }
@@ -416,8 +425,10 @@
     return members;
 }
 
-bool member::isChosen() const
+bool member::isChosenRelay() const
 {
+    if (isJoining())
+        return false;
     auto const chosen = reachable(m_settings.zone);
     return std::any_of(chosen.begin(), chosen.end(), [&](auto const& member) { return member.vm == m_self.vm; });
 }
@@ -434,7 +445,7 @@
     return m_hasJoined && m_peers.lastHeard() && now - *m_peers.lastHeard() < m_settings.suspectTimeout;
 }
 
-bool member::isRelay() const { return (!isJoining() && isChosen()) || !m_peers.subscribers().empty(); }
+bool member::isRelay() const { return isChosenRelay() || m_peers.hasSubscribers(); }
 
 std::vector<std::string> member::relays() const
 {
