--- a/Utilities/Load/load_report.cpp
+++ b/Utilities/Load/load_report.cpp
@@ -78,6 +78,15 @@
     return timeline;
 }
 
+void addComparison(ordered_json& document, outcome_summary const& throughDaemons, outcome_summary const& direct)
+{
+    document["direct"] = summaryJson(direct);
+    if (throughDaemons.calls == 0)
+        return;
+    document["added_p50_ms"] = rounded(throughDaemons.latency.p50Ms - direct.latency.p50Ms);
+    document["added_p99_ms"] = rounded(throughDaemons.latency.p99Ms - direct.latency.p99Ms);
+}
+
 void count(outcome_summary& summary, caller_outcome outcome)
 {
     switch (outcome) {
@@ -135,12 +144,8 @@
     document["seed"] = report.seed;
     document["classes"] = classesJson(throughDaemons);
     document["timeline"] = timelineJson(throughDaemons, report.lengthSeconds);
-    if (!direct.empty()) {
-        auto const directSummary = summarizeOutcomes(direct);
-        document["direct"] = summaryJson(directSummary);
-        document["added_p50_ms"] = rounded(summary.latency.p50Ms - directSummary.latency.p50Ms);
-        document["added_p99_ms"] = rounded(summary.latency.p99Ms - directSummary.latency.p99Ms);
-    }
+    if (!direct.empty())
+        addComparison(document, summary, summarizeOutcomes(direct));
     return document.dump();
 }
 
