--- a/Libraries/LibNet/tcp_transport.cpp
+++ b/Libraries/LibNet/tcp_transport.cpp
@@ -117,6 +117,8 @@
 {
     auto socket = beginConnect(to, m_settings.listenOn.address);
     mutex_lock lock(m_mutex);
+    if (m_isStopping)
+        return m_nextId++;
     if (socket.isError() || m_connections.size() >= m_settings.maximumConnections) {
         connection_id const id = m_nextId++;
         m_ended.push_back(
@@ -182,14 +184,10 @@
 void tcp_transport::run()
 {
     std::array<epoll_event, eventsPerWait> events {};
-    while (true) {
+    // Asked before each wait too: one reading of the wake-up counter may take in the call to stop with an earlier one.
+    while (!isStopping()) {
         int const count = epoll_wait(m_epoll.number(), events.data(), eventsPerWait, -1);
-        for (int i = 0; i < count; ++i) {
-            {
-                mutex_lock lock(m_mutex);
-                if (m_isStopping)
-                    return;
-            }
+        for (int i = 0; i < count && !isStopping(); ++i) {
             handleEvent(events[i].data.u64, events[i].events);
             // Ends are told at once, so that they come in order with the frames of the same connection.
             reportEnded();
@@ -380,6 +378,12 @@
     watchDescriptor(m_epoll, EPOLL_CTL_MOD, to.socket.number(), to.id, events);
 }
 
+bool tcp_transport::isStopping() const
+{
+    mutex_lock lock(m_mutex);
+    return m_isStopping;
+}
+
 bool tcp_transport::isOpen(connection_id id) const
 {
     mutex_lock lock(m_mutex);
--- a/Libraries/LibNet/tcp_transport.h
+++ b/Libraries/LibNet/tcp_transport.h
@@ -69,6 +69,7 @@
     void flush(connection&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void watch(connection&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     bool isOpen(connection_id) const;
+    bool isStopping() const;
 
     transport_settings m_settings;
     transport_listener& m_listener;
--- a/Libraries/LibWire/link_codec.cpp
+++ b/Libraries/LibWire/link_codec.cpp
@@ -7,7 +7,8 @@
     auto const vm = writeText(builder, value.vm);
     auto const zone = writeText(builder, value.zone);
     auto const address = writeText(builder, value.address);
-    return wire::CreateHello(builder, vm, zone, address, value.instance, value.generation);
+    return wire::CreateHello(builder, static_cast<wire::ConnectionPurpose>(value.purpose), vm, zone, address,
+        value.instance, value.generation);
 }
 
 flatbuffers::Offset<wire::HelloAnswer> encode(flatbuffers::FlatBufferBuilder& builder, hello_answer const& value)
@@ -29,6 +30,7 @@
 hello decode(wire_reader& reader, wire::Hello const& table)
 {
     return {
+        .purpose = reader.enumerator<connection_purpose>(table.purpose()),
         .vm = reader.text(table.vm()),
         .zone = reader.text(table.zone()),
         .address = reader.text(table.address()),
--- a/Tests/LibWire/arbitrary_messages.h
+++ b/Tests/LibWire/arbitrary_messages.h
@@ -119,7 +119,8 @@
 {
     switch (kind) {
     case 0:
-        return hello { drawText(), drawText(), drawText(), drawNumber(), drawNumber() };
+        return hello { drawEnumerator(connection_purpose::Calls), drawText(), drawText(), drawText(), drawNumber(),
+            drawNumber() };
     case 1:
         return hello_answer { drawText(), drawNumber(), drawNumber() };
     case 2:
--- a/Tests/LibWire/message_test.cpp
+++ b/Tests/LibWire/message_test.cpp
@@ -70,7 +70,7 @@
 
 TEST(Message, IsReadAtAnyAlignment)
 {
-    message const sent = hello { "vm", "zone", "10.0.0.1:7000", 7, 9 };
+    message const sent = hello { connection_purpose::Calls, "vm", "zone", "10.0.0.1:7000", 7, 9 };
     std::string const shifted = "x" + encodeMessage(sent);
     auto const received = decodeMessage(std::string_view(shifted).substr(1));
     ASSERT_FALSE(received.isError());
