--- a/Services/Daemon/daemon.cpp
+++ b/Services/Daemon/daemon.cpp
@@ -30,7 +30,7 @@
     , m_workers(m_settings.workerThreads)
     , m_http(http_client::create())
     , m_store(std::make_unique<http_object_store>(*m_http, m_settings.platformAddress))
-    , m_hub({ m_settings.vm, m_settings.zone, m_settings.peerAddress, m_instance }, *this)
+    , m_hub({ m_settings.vm, m_settings.zone, m_settings.advertisedAddress, m_instance }, *this)
     , m_configuration(m_settings.distribution, *m_store, m_hub, drawNumber())
     , m_membership(m_settings.membership, m_instance, m_hub, *this, drawNumber())
     , m_targets(
--- a/Services/Daemon/daemon_settings.cpp
+++ b/Services/Daemon/daemon_settings.cpp
@@ -20,7 +20,7 @@
     auto& membership = settings.membership;
     membership.vm = settings.vm;
     membership.zone = settings.zone;
-    membership.address = settings.peerAddress;
+    membership.address = settings.advertisedAddress;
     membership.httpAddress = settings.httpAddress;
     membership.seeds = reader.endpoints("seeds");
     membership.relaysPerZone = static_cast<std::size_t>(reader.number("relays_per_zone", 1, 16, 2));
@@ -69,6 +69,7 @@
     settings.vm = reader.requiredText("vm");
     settings.zone = reader.requiredText("zone");
     settings.peerAddress = reader.requiredEndpoint("peer_address");
+    settings.advertisedAddress = reader.endpointText("advertised_address", settings.peerAddress);
     settings.httpAddress = reader.requiredEndpoint("http_address");
     settings.platformAddress = reader.requiredEndpoint("platform");
     readMembership(reader, settings);
--- a/Services/Daemon/daemon_settings.h
+++ b/Services/Daemon/daemon_settings.h
@@ -17,6 +17,8 @@
     std::string zone;
     // IP number and port of the listener for other daemons.
     std::string peerAddress;
+    // Where other daemons reach that listener; differs from peerAddress behind a relay or a translation of addresses.
+    std::string advertisedAddress;
     // IP number and port of the listener for callers, targets and operators.
     std::string httpAddress;
     // IP number and port of the platform's object API.
