--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -1,7 +1,7 @@
 #include <LibCalls/call_client.h>
 
 #include <LibCalls/attempt_identifier.h>
-#include <LibCalls/refusal_text.h>
+#include <LibCalls/refusal_rules.h>
 #include <algorithm>
 
 namespace merlinpier {
@@ -12,11 +12,6 @@
 constexpr std::uint32_t retryAfterNoTargetMs = 1000;
 constexpr std::uint32_t shortestRetryAfterMs = 1;
 
-bool isAboutLoad(refusal_reason reason)
-{
-    return reason == refusal_reason::Overloaded || reason == refusal_reason::DeadlineTooShort;
-}
-
 call_not_run notRun(refusal_reason reason, std::uint32_t retryAfterMs)
 {
     return { reason, std::max(retryAfterMs, shortestRetryAfterMs), refusalText(reason) };
@@ -34,11 +29,7 @@
 {
     m_snapshot = std::move(snapshot);
     m_chooser.setSnapshot(*m_snapshot, now);
-    for (auto const& [name, service] : m_snapshot->services()) {
-        auto const share = service.configuration.retryBudgetPermille;
-        m_budgets.try_emplace(name, share).first->second.setShare(share);
-    }
-    std::erase_if(m_budgets, [&](auto const& budget) { return !m_snapshot->service(budget.first); });
+    m_budgets.setSnapshot(*m_snapshot);
 }
 
 std::vector<client_action> call_client::start(caller_request request, time_point now, generator& random)
@@ -60,8 +51,7 @@
     }
     record.entryPoint = *entryPoint;
     record.deadline = now + std::min(entryPoint->deadline, record.request.remaining.value_or(entryPoint->deadline));
-    if (auto const budget = m_budgets.find(service->configuration.service); budget != m_budgets.end())
-        budget->second.didStartCall(now);
+    m_budgets.didStartCall(record.request.service, now);
     if (record.deadline <= now)
         complete(record, notRun(refusal_reason::DeadlineTooShort, shortestRetryAfterMs), out);
     else
@@ -86,6 +76,8 @@
     if (!record || record->attempt->target.address != address)
         return;
     auto& attempt = *record->attempt;
+    if (attempt.state == attempt_state::Dispatched)
+        ++m_outstanding[address];
     attempt.state = attempt_state::Sent;
     attempt.generation = generation;
     attempt.sentAt = now;
@@ -141,9 +133,7 @@
             retryLost(record, "the daemon that knows the outcome cannot be reached", now, random, out);
             continue;
         }
-        out.push_back(take_back_call { address, record.attempt->id });
-        endAttempt(record, attempt_outcome::Unreachable, std::nullopt, now);
-        retryNotRun(record, notRun(refusal_reason::TargetUnreachable, retryAfterNoTargetMs), now, random, out);
+        retryUnreachable(record, now, random, out);
     }
     return out;
 }
@@ -160,23 +150,20 @@
         if (now >= record.deadline) {
             expire(record, now, out);
         } else if (attempt.state == attempt_state::Dispatched && now - attempt.dispatchedAt >= m_settings.linkTimeout) {
-            out.push_back(take_back_call { attempt.target.address, attempt.id });
-            endAttempt(record, attempt_outcome::Unreachable, std::nullopt, now);
-            retryNotRun(record, notRun(refusal_reason::TargetUnreachable, retryAfterNoTargetMs), now, random, out);
+            retryUnreachable(record, now, random, out);
         } else if (attempt.state == attempt_state::Asking && now - attempt.askedSince >= m_settings.queryTimeout) {
             retryLost(record, "the daemon that knows the outcome did not reply", now, random, out);
         }
     }
-    flushAcknowledgements(out);
+    for (auto& [address, frame] : m_acknowledgements.take())
+        out.push_back(send_to_target { address, std::move(frame) });
     return out;
 }
 
 std::size_t call_client::outstanding(std::string const& address) const
 {
-    std::size_t count = 0;
-    for (auto const& id : callsAt(address))
-        count += m_calls.at(id).attempt->state != attempt_state::Dispatched;
-    return count;
+    auto const found = m_outstanding.find(address);
+    return found == m_outstanding.end() ? 0 : found->second;
 }
 
 std::size_t call_client::unsettled() const { return m_calls.size(); }
@@ -217,7 +204,6 @@
     }
     attempt_identifier const identifier { record.request.id, ++m_lastAttempt, record.isKeyed() };
     ++record.attempts;
-    record.tried.insert(target->id);
     record.attempt = call_attempt { identifier.text(), *target, attempt_state::Dispatched, 0, now };
     m_attempts[record.attempt->id] = record.request.id;
     m_chooser.didSend(target->id, now);
@@ -245,33 +231,59 @@
     return call;
 }
 
-void call_client::endAttempt(
-    call_record& record, attempt_outcome outcome, std::optional<std::uint32_t> loadPermille, time_point now)
+void call_client::endAttempt(call_record& record, attempt_ending ending, time_point now)
 {
-    m_chooser.didEnd(record.attempt->target.id, outcome, loadPermille, now);
-    m_attempts.erase(record.attempt->id);
+    auto const& attempt = *record.attempt;
+    if (attempt.state != attempt_state::Dispatched && --m_outstanding[attempt.target.address] == 0)
+        m_outstanding.erase(attempt.target.address);
+    m_chooser.didEnd(attempt.target.id, ending.outcome, ending.loadPermille, now);
+    m_attempts.erase(attempt.id);
     record.attempt.reset();
 }
 
-bool call_client::mayRetry(call_record const& record, time_point now)
+bool call_client::hasAttemptLeft(call_record const& record, time_point now) const
+{
+    return now < record.deadline && record.attempts < m_settings.maximumAttempts;
+}
+
+bool call_client::tryTakeBudget(call_record const& record, time_point now)
+{
+    return m_settings.retries == retry_policy::Always || m_budgets.tryTake(record.request.service, now);
+}
+
+// Whether a call that was proven not run is tried again after a refusal for the reason.
+bool call_client::isWorthRetry(
+    call_record const& record, refusal_reason reason, time_point now, generator& random) const
 {
-    if (now >= record.deadline || record.attempts >= m_settings.maximumAttempts)
+    if (reason == refusal_reason::HopLimit || !hasAttemptLeft(record, now))
         return false;
-    if (m_settings.retries == retry_policy::Always)
+    auto const next = chooseTarget(record, now, random);
+    if (!next)
+        return false;
+    if (m_settings.retries == retry_policy::Always || isAboutRoute(reason))
         return true;
-    auto const budget = m_budgets.find(record.request.service);
-    return budget != m_budgets.end() && budget->second.tryTake(now);
+    // The one target that a keyed call may go to has just refused it.
+    if (record.isBoundToTarget())
+        return false;
+    // Where every other target is loaded too, a retry only adds to the load.
+    return !isAboutLoad(reason) || !m_chooser.isLoaded(*next, now);
 }
 
-// The attempt has ended and was not run: tries elsewhere, or gives the refusal as the final answer.
+// The attempt was not run: tries again, or gives the refusal as the final answer.
 void call_client::retryNotRun(
-    call_record& record, call_not_run refusal, time_point now, generator& random, actions& out)
-{
-    bool const isFinal = refusal.reason == refusal_reason::HopLimit
-        || (record.isBoundToTarget()
-            && (isAboutLoad(refusal.reason) || refusal.reason == refusal_reason::TargetUnreachable));
-    // A choice is looked for first, so that no budget is spent where there is no other target.
-    if (isFinal || !chooseTarget(record, now, random) || !mayRetry(record, now)) {
+    call_record& record, attempt_ending ending, call_not_run refusal, time_point now, generator& random, actions& out)
+{
+    // A keyed call stays with its target unless that is leaving: another ledger would not know an earlier run. One that
+    // only met a replaced connection may go to the same target again.
+    bool const isOver
+        = record.isBoundToTarget() ? isAboutLeaving(refusal.reason) : refusal.reason != refusal_reason::StaleGeneration;
+    if (isOver)
+        record.tried.insert(record.attempt->target.id);
+    endAttempt(record, ending, now);
+    bool const needsBudget = !isAboutRoute(refusal.reason);
+    if (!isWorthRetry(record, refusal.reason, now, random) || (needsBudget && !tryTakeBudget(record, now))) {
+        if (record.isKeyed())
+            refusal.message += "; this says nothing of earlier requests with the same key";
         complete(record, std::move(refusal), out);
         return;
     }
@@ -279,12 +291,22 @@
     send(record, now, random, out);
 }
 
+// The attempt waited for its link in vain: it was not sent.
+void call_client::retryUnreachable(call_record& record, time_point now, generator& random, actions& out)
+{
+    out.push_back(take_back_call { record.attempt->target.address, record.attempt->id });
+    retryNotRun(record, { attempt_outcome::Unreachable, std::nullopt },
+        notRun(refusal_reason::TargetUnreachable, retryAfterNoTargetMs), now, random, out);
+}
+
 // The attempt may have run: only an idempotent call is tried again.
 void call_client::retryLost(call_record& record, std::string message, time_point now, generator& random, actions& out)
 {
-    endAttempt(record, attempt_outcome::Lost, std::nullopt, now);
+    record.tried.insert(record.attempt->target.id);
+    endAttempt(record, { attempt_outcome::Lost, std::nullopt }, now);
     bool const isAllowed = record.entryPoint.isIdempotent || m_settings.retries == retry_policy::Always;
-    if (!isAllowed || !chooseTarget(record, now, random) || !mayRetry(record, now)) {
+    if (!isAllowed || !hasAttemptLeft(record, now) || !chooseTarget(record, now, random)
+        || !tryTakeBudget(record, now)) {
         message += "; it may have run: look at its effect before you repeat it";
         complete(record, call_outcome_unknown { std::move(message) }, out);
         return;
@@ -325,19 +347,19 @@
         out.push_back(take_back_call { address, attempt.id });
     else
         out.push_back(send_to_target { address, call_cancel { attempt.id } });
-    endAttempt(record, attempt_outcome::Refused, std::nullopt, now);
+    endAttempt(record, { attempt_outcome::Refused, std::nullopt }, now);
 }
 
 void call_client::handle(
     std::string const& address, call_answer const& answer, time_point now, generator&, actions& out)
 {
-    acknowledge(address, answer.id);
+    m_acknowledgements.add(address, answer.id);
     auto* record = findByAttempt(answer.id);
     if (!record || record->attempt->target.address != address)
         return;
     call_answered outcome { answer, record->attempt->target.id, record->attempts };
     outcome.answer.id = record->request.id;
-    endAttempt(*record, attempt_outcome::Answered, answer.loadPermille, now);
+    endAttempt(*record, { attempt_outcome::Answered, answer.loadPermille }, now);
     complete(*record, std::move(outcome), out);
 }
 
@@ -347,14 +369,17 @@
     auto* record = findByAttempt(refusal.id);
     if (!record || record->attempt->target.address != address)
         return;
-    endAttempt(*record, attempt_outcome::Refused, refusal.loadPermille, now);
-    retryNotRun(*record, notRun(refusal.reason, refusal.retryAfterMs), now, random, out);
+    // A target that its own daemon cannot reach counts as failed, or it would look idle and draw every call.
+    bool const isTargetDown = refusal.reason == refusal_reason::TargetUnreachable;
+    auto const outcome = isTargetDown ? attempt_outcome::Unreachable : attempt_outcome::Refused;
+    retryNotRun(
+        *record, { outcome, refusal.loadPermille }, notRun(refusal.reason, refusal.retryAfterMs), now, random, out);
 }
 
 void call_client::handle(
     std::string const& address, call_lost const& lost, time_point now, generator& random, actions& out)
 {
-    acknowledge(address, lost.id);
+    m_acknowledgements.add(address, lost.id);
     auto* record = findByAttempt(lost.id);
     if (!record || record->attempt->target.address != address)
         return;
@@ -407,21 +432,8 @@
         retryLost(record, "the ledger that knew the call may have forgotten it", now, random, out);
         return;
     }
-    endAttempt(record, attempt_outcome::Refused, std::nullopt, now);
-    retryNotRun(record, notRun(refusal_reason::StaleGeneration, shortestRetryAfterMs), now, random, out);
-}
-
-// Acknowledgements are gathered until the next tick: they are in no haste, and one frame carries many.
-void call_client::acknowledge(std::string const& address, std::string const& attempt)
-{
-    m_acknowledgements[address].push_back(attempt);
-}
-
-void call_client::flushAcknowledgements(actions& out)
-{
-    for (auto& [address, ids] : m_acknowledgements)
-        out.push_back(send_to_target { address, call_acknowledge { std::move(ids) } });
-    m_acknowledgements.clear();
+    retryNotRun(record, { attempt_outcome::Refused, std::nullopt },
+        notRun(refusal_reason::StaleGeneration, shortestRetryAfterMs), now, random, out);
 }
 
 std::vector<std::string> call_client::callsAt(std::string const& address) const
