LibMembership: Share the sending in large zones among more relays

Cause: counted in encoded frames at 560 members, a relay with 56 subscribers spent 12.7 KB/s idle, 19.4 KB a target change and 1.19 MB an applied version (StayWithinTheBoundsWith560Members failed: 35 KB/s at one target change a second, 19 KB/s at half of one with a single subscription alone). Ruled out: longer heartbeats, which slow the detection of silence; more watchers, which cost the platform.

Change: a zone has one relay more for each 24 members, which sends but does not watch the platform; in zones above 16 a member subscribes to one relay and sends the others a heartbeat every 2.5 s. Only the first relays talk to other zones; ordinary members gave out remote relays before and would each have announced versions there.

--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -1,5 +1,6 @@
 #include <LibMembership/member.h>
 
+#include <LibCore/digest.h>
 #include <algorithm>
 #include <utility>
 
@@ -11,32 +12,18 @@
 constexpr int unansweredPeriods = 2;
 // How often what needs a look at every record is reviewed.
 constexpr milliseconds reviewPeriod { 100 };
-// How many records one message holds at most.
-constexpr std::size_t recordsPerUpdate = 128;
+// How often Gone records are looked over for old ones.
+constexpr milliseconds expiryPeriod { 2000 };
+// A member of a larger zone subscribes to one relay only, to halve what relays send; see docs/design/membership.md.
+constexpr std::size_t largestDoublySubscribedZone = 16;
+// A zone has one relay more for each so many members. It shares in the sending, but does not watch the platform.
+constexpr std::size_t membersPerFurtherRelay = 24;
+// Heartbeats to a relay that is not subscribed to come this much more seldom, yet before it would suspect the sender.
+constexpr double standbyPeriods = 2.5;
 // A daemon that finds nobody by its seeds for this many suspicion timeouts begins to relay for itself.
 constexpr int joinGraceTimeouts = 2;
 // Silent members that a relay probes in one tick.
 constexpr std::size_t probesPerTick = 16;
-// Digests answered in one heartbeat period; the others try again, here or elsewhere.
-constexpr std::size_t digestsPerPeriod = 32;
-
-bool contains(std::vector<std::string> const& addresses, std::string const& address)
-{
-    return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
-}
-
-void sendRecords(
-    std::vector<membership_action>& actions, std::string const& address, std::vector<member_record> const& records)
-{
-    for (std::size_t begin = 0; begin < records.size(); begin += recordsPerUpdate) {
-        auto const end = std::min(begin + recordsPerUpdate, records.size());
-        membership_update update;
-        update.records.assign(
-            records.begin() + static_cast<std::ptrdiff_t>(begin), records.begin() + static_cast<std::ptrdiff_t>(end));
-        actions.emplace_back(send_message { address, std::move(update) });
-    }
-}
-
 // Varies a period by a tenth either way, so that daemons started together drift apart.
 duration jittered(duration period, generator& source)
 {
@@ -71,9 +58,12 @@
         m_nextReview = now + reviewPeriod;
         m_peers.expire(now, m_settings.goneRetention);
         m_peers.avoidUnanswering(now, m_settings.heartbeatPeriod * unansweredPeriods);
+        judgeSilence(actions, now);
+    }
+    if (now >= m_nextExpiry) {
+        m_nextExpiry = now + expiryPeriod;
         m_table.expire(now, m_settings.goneRetention);
         refreshRanking();
-        judgeSilence(actions, now);
     }
     join(actions, now, source);
     sendHeartbeats(actions, now, source);
@@ -108,14 +98,18 @@
 
 void member::sendHeartbeats(actions& actions, time_point now, generator& source)
 {
-    for (auto const& address : relays()) {
+    auto const own = relays();
+    auto const home = homeRelay(own);
+    for (auto const& address : own) {
         if (!m_peers.isHeartbeatDue(address, now))
             continue;
-        sendHeartbeat(actions, address, true);
-        m_peers.didSendHeartbeat(address, now, jittered(m_settings.heartbeatPeriod, source));
+        bool const subscribes = !home || address == *home;
+        sendHeartbeat(actions, address, subscribes);
+        auto const standby = duration(static_cast<std::int64_t>(
+            standbyPeriods * static_cast<double>(duration(m_settings.heartbeatPeriod).count())));
+        m_peers.didSendHeartbeat(
+            address, now, jittered(subscribes ? duration(m_settings.heartbeatPeriod) : standby, source));
     }
-    if (!isRelay())
-        return;
     for (auto const& address : remoteRelays()) {
         if (!m_peers.isHeartbeatDue(address, now))
             continue;
@@ -124,6 +118,20 @@
     }
 }
 
+std::optional<std::string> member::homeRelay(std::vector<std::string> const& own) const
+{
+    auto const zone = m_ranking.find(m_settings.zone);
+    bool const isSmall = zone == m_ranking.end() || zone->second.size() <= largestDoublySubscribedZone;
+    // Relays of a zone tell each other everything.
+    if (own.empty() || isSmall || placeAmongRelays())
+        return {};
+    auto const score = [&](std::string const& address) {
+        return hash64(address, hash64(m_self.vm));
+    };
+    return *std::max_element(
+        own.begin(), own.end(), [&](auto const& left, auto const& right) { return score(left) < score(right); });
+}
+
 void member::sendHeartbeat(actions& actions, std::string const& address, bool subscribes) const
 {
     heartbeat beat;
@@ -242,59 +250,6 @@
         actions.emplace_back(send_message { from, membership_digest { m_table.bucketDigests() } });
 }
 
-void member::didReceive(actions& actions, std::string const& from, membership_update const& update, time_point now)
-{
-    std::vector<std::string> changed;
-    bool mustRefute = false;
-    for (auto const& record : update.records) {
-        if (record.vm == m_self.vm) {
-            mustRefute |= considerOwn(record);
-            continue;
-        }
-        auto const effect = m_table.merge(record);
-        if (effect == merge_effect::AppliedVersion)
-            m_queue.addAppliedVersion(record.vm);
-        if (effect != merge_effect::Record)
-            continue;
-        m_queue.addRecord(record.vm, from);
-        changed.push_back(record.vm);
-        // Only its owner raises a live record, so the owner lives; the message may have come through others.
-        if (record.state != member_state::Gone)
-            m_silence.didHear(record.vm, now);
-    }
-    if (!changed.empty()) {
-        refreshRanking();
-        actions.emplace_back(membership_changed { std::move(changed) });
-    }
-    if (mustRefute)
-        publishSelf(actions, now);
-}
-
-bool member::considerOwn(member_record const& record)
-{
-    m_appliedBefore = std::max(m_appliedBefore, record.appliedVersion);
-    m_self.appliedVersion = std::max(m_self.appliedVersion, record.appliedVersion);
-    m_table.merge(appliedVersionOnly(m_self.vm, m_self.appliedVersion));
-    if (record.incarnation < m_self.incarnation || !supersedes(record, m_self))
-        return false;
-    m_self.incarnation = record.incarnation + 1;
-    return true;
-}
-
-void member::didReceive(actions& actions, std::string const& from, membership_digest const& digest, time_point now)
-{
-    if (now - m_digestWindow >= m_settings.heartbeatPeriod) {
-        m_digestWindow = now;
-        m_digestsAnswered = 0;
-    }
-    if (++m_digestsAnswered > digestsPerPeriod)
-        return;
-    sendRecords(actions, from, m_table.recordsWhereDifferent(digest.buckets));
-    // The sender may know what is missing here; the turns keep two daemons from asking each other for ever.
-    if (digest.buckets != m_table.bucketDigests() && m_peers.takeDigestTurn(from, now, m_settings.repairPeriod))
-        actions.emplace_back(send_message { from, membership_digest { m_table.bucketDigests() } });
-}
-
 void member::didFailToReach(std::string const& address, time_point now)
 {
     m_now = std::max(m_now, now);
@@ -342,57 +297,6 @@
     return actions;
 }
 
-void member::publishSelf(actions& actions, time_point now)
-{
-    m_now = std::max(m_now, now);
-    ++m_self.sequence;
-    m_table.merge(m_self);
-    refreshRanking();
-    m_queue.addRecord(m_self.vm, {});
-    actions.emplace_back(membership_changed { { m_self.vm } });
-}
-
-void member::flush(actions& actions, time_point now)
-{
-    auto const own = relays();
-    auto const recipients = subscribers();
-    auto const remote = isRelay() ? remoteRelays() : std::vector<std::string>();
-    std::map<std::string, std::map<std::string, member_record>> outgoing;
-    auto const addRecord
-        = [&](std::vector<std::string> const& addresses, std::string const& from, member_record const& record) {
-              for (auto const& address : addresses) {
-                  if (address != from)
-                      outgoing[address].emplace(record.vm, record);
-              }
-          };
-    for (auto const& [vm, from] : m_queue.takeRecords(now)) {
-        auto const* record = m_table.find(vm);
-        if (!record)
-            continue;
-        addRecord(recipients, from, *record);
-        // What a relay told is known to the relays; what anybody else told may not be.
-        if (!contains(own, from))
-            addRecord(own, from, *record);
-        if (record->zone == m_settings.zone)
-            addRecord(remote, from, *record);
-    }
-    for (auto const& vm : m_queue.takeAppliedVersions(now)) {
-        auto const* record = m_table.find(vm);
-        if (!record)
-            continue;
-        auto const thin = appliedVersionOnly(vm, record->appliedVersion);
-        addRecord(recipients, {}, thin);
-        if (record->zone == m_settings.zone)
-            addRecord(remote, {}, thin);
-    }
-    for (auto const& [address, records] : outgoing) {
-        std::vector<member_record> list;
-        for (auto const& [vm, record] : records)
-            list.push_back(record);
-        sendRecords(actions, address, list);
-    }
-}
-
 void member::addSeeds(std::vector<std::string> const& seeds) { m_joins.addSeeds(seeds); }
 
 void member::refreshRanking()
@@ -416,8 +320,9 @@
     auto const ranked = m_ranking.find(zone);
     if (ranked == m_ranking.end())
         return members;
+    auto const count = m_settings.relaysPerZone + ranked->second.size() / membersPerFurtherRelay;
     for (auto const& member : ranked->second) {
-        if (members.size() == m_settings.relaysPerZone)
+        if (members.size() == count)
             break;
         if (member.vm == m_self.vm || !m_peers.isAvoided(member.address, m_now))
             members.push_back(member);
@@ -425,12 +330,22 @@
     return members;
 }
 
+std::optional<std::size_t> member::placeAmongRelays() const
+{
+    auto const chosen = reachable(m_settings.zone);
+    auto const self
+        = std::find_if(chosen.begin(), chosen.end(), [&](auto const& member) { return member.vm == m_self.vm; });
+    if (self == chosen.end())
+        return {};
+    return static_cast<std::size_t>(std::distance(chosen.begin(), self));
+}
+
 bool member::isChosenRelay() const
 {
     if (isJoining())
         return false;
-    auto const chosen = reachable(m_settings.zone);
-    return std::any_of(chosen.begin(), chosen.end(), [&](auto const& member) { return member.vm == m_self.vm; });
+    auto const place = placeAmongRelays();
+    return place && *place < m_settings.relaysPerZone;
 }
 
 bool member::isJoining() const
@@ -445,7 +360,7 @@
     return m_hasJoined && m_peers.lastHeard() && now - *m_peers.lastHeard() < m_settings.suspectTimeout;
 }
 
-bool member::isRelay() const { return isChosenRelay() || m_peers.hasSubscribers(); }
+bool member::isRelay() const { return (!isJoining() && placeAmongRelays()) || m_peers.hasSubscribers(); }
 
 std::vector<std::string> member::relays() const
 {
@@ -463,10 +378,10 @@
 {
     // The first relay of a zone talks to the first of each other zone, the second to the second: a record reaches a
     // zone by two ways without every relay sending to every other.
-    auto const own = reachable(m_settings.zone);
-    auto const place = static_cast<std::size_t>(std::distance(
-        own.begin(), std::find_if(own.begin(), own.end(), [&](auto const& member) { return member.vm == m_self.vm; })));
     std::vector<std::string> addresses;
+    if (!isChosenRelay())
+        return addresses;
+    auto const place = *placeAmongRelays();
     for (auto const& [zone, members] : m_ranking) {
         if (zone == m_settings.zone)
             continue;
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -23,6 +23,8 @@
     std::string httpAddress;
     // Addresses of daemons to join by.
     std::vector<std::string> seeds;
+    // Relays of a zone that watch the platform and talk to other zones. Large zones have further ones to share the
+    // sending.
     std::size_t relaysPerZone { 2 };
     // A relay answers further heartbeats with a time to come back.
     std::size_t maximumSubscribers { 128 };
@@ -66,14 +68,14 @@
     member_record const& self() const { return m_self; }
     // Whether this VM relays for others: its own view says so, or another daemon subscribes to it.
     bool isRelay() const;
-    // Whether its own view says so. Only then does it watch the platform: a daemon that others alone take for their
-    // relay hears of new versions from the relays that it reports to itself.
+    // Whether it is among the first relays by its own view. These alone watch the platform and talk to other zones; the
+    // others hear of new versions from them.
     bool isChosenRelay() const;
     // Addresses of the relays of the own zone that this member reports to.
     std::vector<std::string> relays() const;
     // Addresses that subscribe to this daemon as their relay.
     std::vector<std::string> subscribers() const;
-    // Addresses of one relay or more of each other zone.
+    // Addresses of one relay of each other zone; empty unless this is a chosen relay.
     std::vector<std::string> remoteRelays() const;
     // Whether the own zone's relays or any other daemon has been heard of lately.
     bool hasContact(time_point now) const;
@@ -107,6 +109,8 @@
     void join(actions&, time_point now, generator&);
     void introduce(actions&, std::string const& address);
     void sendHeartbeats(actions&, time_point now, generator&);
+    // The one of these relays that this member subscribes to; nothing if to all of them.
+    std::optional<std::string> homeRelay(std::vector<std::string> const& own) const;
     void sendHeartbeat(actions&, std::string const& address, bool subscribes) const;
     void judgeSilence(actions&, time_point now);
     void flush(actions&, time_point now);
@@ -119,9 +123,13 @@
     // Takes what others say of this VM: a former life's version, or a record that has to be refuted.
     bool considerOwn(member_record const&);
 
+    // Sends records in messages of a bounded size.
+    static void sendRecords(actions&, std::string const& address, std::vector<member_record> const&);
     void publishSelf(actions&, time_point now);
     void refreshRanking();
     std::vector<ranked_member> reachable(std::string const& zone) const;
+    // This VM's place among the relays of its zone, by its own view.
+    std::optional<std::size_t> placeAmongRelays() const;
     bool isJoining() const;
     bool isInContact(time_point now) const;
 
@@ -142,6 +150,7 @@
     std::optional<time_point> m_startedAt;
     time_point m_now {};
     time_point m_nextReview {};
+    time_point m_nextExpiry {};
     time_point m_digestWindow {};
     std::size_t m_digestsAnswered { 0 };
 };
--- /dev/null
+++ b/Libraries/LibMembership/member_updates.cpp
@@ -0,0 +1,137 @@
+#include <LibMembership/member.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace merlinpier {
+
+namespace {
+
+// How many records one message holds at most.
+constexpr std::size_t recordsPerUpdate = 128;
+// Digests answered in one heartbeat period; the others try again, here or elsewhere.
+constexpr std::size_t digestsPerPeriod = 32;
+
+bool contains(std::vector<std::string> const& addresses, std::string const& address)
+{
+    return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+}
+
+} // namespace
+
+void member::sendRecords(actions& actions, std::string const& address, std::vector<member_record> const& records)
+{
+    for (std::size_t begin = 0; begin < records.size(); begin += recordsPerUpdate) {
+        auto const end = std::min(begin + recordsPerUpdate, records.size());
+        membership_update update;
+        update.records.assign(
+            records.begin() + static_cast<std::ptrdiff_t>(begin), records.begin() + static_cast<std::ptrdiff_t>(end));
+        actions.emplace_back(send_message { address, std::move(update) });
+    }
+}
+
+void member::didReceive(actions& actions, std::string const& from, membership_update const& update, time_point now)
+{
+    std::vector<std::string> changed;
+    bool mustRefute = false;
+    for (auto const& record : update.records) {
+        if (record.vm == m_self.vm) {
+            mustRefute |= considerOwn(record);
+            continue;
+        }
+        auto const effect = m_table.merge(record);
+        if (effect == merge_effect::AppliedVersion)
+            m_queue.addAppliedVersion(record.vm);
+        if (effect != merge_effect::Record)
+            continue;
+        m_queue.addRecord(record.vm, from);
+        changed.push_back(record.vm);
+        // Only its owner raises a live record, so the owner lives; the message may have come through others.
+        if (record.state != member_state::Gone)
+            m_silence.didHear(record.vm, now);
+    }
+    if (!changed.empty()) {
+        refreshRanking();
+        actions.emplace_back(membership_changed { std::move(changed) });
+    }
+    if (mustRefute)
+        publishSelf(actions, now);
+}
+
+bool member::considerOwn(member_record const& record)
+{
+    m_appliedBefore = std::max(m_appliedBefore, record.appliedVersion);
+    m_self.appliedVersion = std::max(m_self.appliedVersion, record.appliedVersion);
+    m_table.merge(appliedVersionOnly(m_self.vm, m_self.appliedVersion));
+    if (record.incarnation < m_self.incarnation || !supersedes(record, m_self))
+        return false;
+    m_self.incarnation = record.incarnation + 1;
+    return true;
+}
+
+void member::didReceive(actions& actions, std::string const& from, membership_digest const& digest, time_point now)
+{
+    if (now - m_digestWindow >= m_settings.heartbeatPeriod) {
+        m_digestWindow = now;
+        m_digestsAnswered = 0;
+    }
+    if (++m_digestsAnswered > digestsPerPeriod)
+        return;
+    sendRecords(actions, from, m_table.recordsWhereDifferent(digest.buckets));
+    // The sender may know what is missing here; the turns keep two daemons from asking each other for ever.
+    if (digest.buckets != m_table.bucketDigests() && m_peers.takeDigestTurn(from, now, m_settings.repairPeriod))
+        actions.emplace_back(send_message { from, membership_digest { m_table.bucketDigests() } });
+}
+
+void member::publishSelf(actions& actions, time_point now)
+{
+    m_now = std::max(m_now, now);
+    ++m_self.sequence;
+    m_table.merge(m_self);
+    refreshRanking();
+    m_queue.addRecord(m_self.vm, {});
+    actions.emplace_back(membership_changed { { m_self.vm } });
+}
+
+void member::flush(actions& actions, time_point now)
+{
+    auto const own = relays();
+    auto const recipients = subscribers();
+    auto const remote = remoteRelays();
+    std::map<std::string, std::map<std::string, member_record>> outgoing;
+    auto const addRecord
+        = [&](std::vector<std::string> const& addresses, std::string const& from, member_record const& record) {
+              for (auto const& address : addresses) {
+                  if (address != from)
+                      outgoing[address].emplace(record.vm, record);
+              }
+          };
+    for (auto const& [vm, from] : m_queue.takeRecords(now)) {
+        auto const* record = m_table.find(vm);
+        if (!record)
+            continue;
+        addRecord(recipients, from, *record);
+        // What a relay told is known to the relays; what anybody else told may not be.
+        if (!contains(own, from))
+            addRecord(own, from, *record);
+        if (record->zone == m_settings.zone)
+            addRecord(remote, from, *record);
+    }
+    for (auto const& vm : m_queue.takeAppliedVersions(now)) {
+        auto const* record = m_table.find(vm);
+        if (!record)
+            continue;
+        auto const thin = appliedVersionOnly(vm, record->appliedVersion);
+        addRecord(recipients, {}, thin);
+        if (record->zone == m_settings.zone)
+            addRecord(remote, {}, thin);
+    }
+    for (auto const& [address, records] : outgoing) {
+        std::vector<member_record> list;
+        for (auto const& [vm, record] : records)
+            list.push_back(record);
+        sendRecords(actions, address, list);
+    }
+}
+
+} // namespace merlinpier
--- a/Tests/LibMembership/fleet.cpp
+++ b/Tests/LibMembership/fleet.cpp
@@ -33,9 +33,11 @@
         if (!send)
             continue;
         ++messages;
-        auto const size = frameSize(send->content);
-        bytesSent[vm] += size;
-        bytesReceived[send->address] += size;
+        if (countsBytes) {
+            auto const size = frameSize(send->content);
+            bytes[vm] += size;
+            bytes[send->address] += size;
+        }
         if (isCut(vm, send->address) || uniformUnit(m_source) < lossShare)
             continue;
         for (int copies = uniformUnit(m_source) < repeatShare ? 2 : 1; copies > 0; --copies) {
@@ -69,22 +71,8 @@
 
 std::size_t frameSize(message const& content)
 {
-    if (auto const* update = std::get_if<membership_update>(&content)) {
-        std::size_t size = 40;
-        for (auto const& record : update->records) {
-            size += 40 + 8 + record.vm.size();
-            if (record.incarnation == 0)
-                continue;
-            size += 48 + record.zone.size() + record.address.size() + record.httpAddress.size()
-                + record.refusedReason.size();
-            for (auto const& target : record.targets)
-                size += 56 + target.id.size() + target.service.size() + target.licence.size();
-        }
-        return size;
-    }
-    if (auto const* digest = std::get_if<membership_digest>(&content))
-        return 40 + 8 * digest->buckets.size();
-    return 110;
+    constexpr std::size_t lengthPrefix = 4;
+    return lengthPrefix + encodeMessage(content).size();
 }
 
 } // namespace merlinpier
--- a/Tests/LibMembership/fleet.h
+++ b/Tests/LibMembership/fleet.h
@@ -43,10 +43,11 @@
     double lossShare { 0 };
     double repeatShare { 0 };
     milliseconds longestDelay { 2 };
-    // By VM, since the last reset.
-    std::map<std::string, std::uint64_t> bytesSent;
-    std::map<std::string, std::uint64_t> bytesReceived;
+    // Sent and received, by VM, since the last reset.
+    std::map<std::string, std::uint64_t> bytes;
     std::uint64_t messages { 0 };
+    // Counting bytes encodes every message.
+    bool countsBytes { false };
 
 private:
     struct delivery {
@@ -62,7 +63,7 @@
     std::multimap<time_point, delivery> m_underway;
 };
 
-// Estimates the bytes of a message in a frame.
+// Returns the bytes of a message in a frame.
 std::size_t frameSize(message const&);
 
 } // namespace merlinpier
--- /dev/null
+++ b/Tests/LibMembership/member_bytes_test.cpp
@@ -0,0 +1,114 @@
+#include "fleet.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace merlinpier {
+
+namespace {
+
+constexpr int zones = 10;
+constexpr int membersPerZone = 56;
+constexpr double secondsPerDay = 86400;
+constexpr double changesPerDay = 240;
+// Changes of target states in the whole fleet, a second: every one of 560 targets changes its state 77 times a day.
+constexpr double targetChangesPerSecond = 0.5;
+constexpr double idleBound = 2000;
+constexpr double bound = 17000;
+
+// Bytes that a daemon sent and received: the mean of all daemons and the most of any.
+struct daemon_bytes {
+    double mean { 0 };
+    double most { 0 };
+};
+
+// Lets the time pass and counts the bytes of it.
+daemon_bytes countWhile(fleet& fleet, duration time)
+{
+    fleet.bytes.clear();
+    fleet.countsBytes = true;
+    fleet.run(time);
+    fleet.countsBytes = false;
+    daemon_bytes counted;
+    for (auto const& [vm, bytes] : fleet.bytes) {
+        counted.mean += static_cast<double>(bytes) / (zones * membersPerZone);
+        counted.most = std::max(counted.most, static_cast<double>(bytes));
+    }
+    return counted;
+}
+
+std::string vmOf(int zone, int number) { return "zone" + std::to_string(zone) + "-" + std::to_string(number); }
+
+target_record targetOf(std::string const& vm, target_state state)
+{
+    return { "target-of-" + vm, "bookings", "licence-of-" + vm, 1, state, 12 };
+}
+
+void applyEverywhere(fleet& fleet, std::uint64_t version)
+{
+    for (auto const& [vm, member] : fleet.members())
+        fleet.perform(vm, member->setApplied(version, 0, {}, fleet.now));
+}
+
+} // namespace
+
+// Prints the figures that docs/design/membership.md and docs/CAPACITY.md quote.
+TEST(MemberBytes, StayWithinTheBoundsWith560Members)
+{
+    fleet fleet(1);
+    fleet.step = milliseconds(100);
+    for (int zone = 0; zone < zones; ++zone) {
+        for (int i = 0; i < membersPerZone; ++i) {
+            auto& started = fleet.start("zone" + std::to_string(zone), i, { vmOf(0, 0), vmOf(4, 1), vmOf(9, 2) });
+            auto const& vm = started.self().vm;
+            fleet.perform(vm, started.setTargets({ targetOf(vm, target_state::Ready) }, fleet.now));
+        }
+    }
+    fleet.run(seconds(20));
+    applyEverywhere(fleet, 1);
+    fleet.run(seconds(6));
+    ASSERT_TRUE(fleet.haveConverged());
+
+    constexpr double measured = 6;
+    auto idle = countWhile(fleet, seconds(static_cast<int>(measured)));
+    idle.mean /= measured;
+    idle.most /= measured;
+
+    applyEverywhere(fleet, 2);
+    auto change = countWhile(fleet, seconds(static_cast<int>(measured)));
+    change.mean -= idle.mean * measured;
+    change.most -= idle.most * measured;
+    EXPECT_TRUE(fleet.haveConverged());
+
+    for (int i = 0; i < static_cast<int>(measured); ++i) {
+        auto const vm = vmOf(i, 7);
+        // One change a second, so that no batch hides what a change costs.
+        fleet.countsBytes = true;
+        if (i == 0)
+            fleet.bytes.clear();
+        fleet.perform(vm, fleet.at(vm).setTargets({ targetOf(vm, target_state::Draining) }, fleet.now));
+        fleet.run(seconds(1));
+    }
+    fleet.countsBytes = false;
+    daemon_bytes churn;
+    for (auto const& [vm, bytes] : fleet.bytes) {
+        churn.mean += static_cast<double>(bytes) / (zones * membersPerZone) / measured;
+        churn.most = std::max(churn.most, static_cast<double>(bytes) / measured);
+    }
+    churn.mean -= idle.mean;
+    churn.most -= idle.most;
+
+    double const meanInAll
+        = idle.mean + change.mean * changesPerDay / secondsPerDay + churn.mean * targetChangesPerSecond;
+    double const mostInAll
+        = idle.most + change.most * changesPerDay / secondsPerDay + churn.most * targetChangesPerSecond;
+    printf("idle bytes a second: mean %.0f, most %.0f\n", idle.mean, idle.most);
+    printf("bytes an applied version: mean %.0f, most %.0f\n", change.mean, change.most);
+    printf("bytes a target change: mean %.0f, most %.0f\n", churn.mean, churn.most);
+    printf("bytes a second in all: mean %.0f, most %.0f\n", meanInAll, mostInAll);
+    EXPECT_LT(idle.mean, idleBound);
+    EXPECT_LT(meanInAll, bound);
+    EXPECT_LT(mostInAll, bound);
+}
+
+} // namespace merlinpier
