--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/http_client.h>
 
 #include <LibCore/mutex.h>
+#include <LibHttp/curl_event_loop.h>
 #include <LibHttp/curl_transfer.h>
 #include <absl/time/time.h>
 #include <deque>
@@ -11,7 +12,6 @@
 
 namespace {
 
-constexpr int pollTimeoutMs = 1000;
 constexpr std::size_t maximumIdleHandles = 256;
 constexpr long maximumIdleConnections = 1024;
 
@@ -25,6 +25,7 @@
 public:
     curl_client()
         : m_multi(curl_multi_init())
+        , m_loop(std::make_unique<curl_event_loop>(m_multi))
     {
         curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, maximumIdleConnections);
         m_thread = std::thread([this] { run(); });
@@ -36,8 +37,9 @@
             mutex_lock lock(m_mutex);
             m_isStopping = true;
         }
-        curl_multi_wakeup(m_multi);
+        m_loop->wake();
         m_thread.join();
+        m_loop.reset();
         curl_multi_cleanup(m_multi);
     }
 
@@ -49,7 +51,7 @@
             id = m_nextId++;
             m_commands.push_back({ id, std::move(request), std::move(callback) });
         }
-        curl_multi_wakeup(m_multi);
+        m_loop->wake();
         return id;
     }
 
@@ -59,7 +61,7 @@
             mutex_lock lock(m_mutex);
             m_commands.push_back({ id, {}, nullptr });
         }
-        curl_multi_wakeup(m_multi);
+        m_loop->wake();
     }
 
 private:
@@ -73,10 +75,8 @@
     void run()
     {
         while (executeCommands()) {
-            int running = 0;
-            curl_multi_perform(m_multi, &running);
+            m_loop->runOnce();
             collectFinished();
-            curl_multi_poll(m_multi, nullptr, 0, pollTimeoutMs, nullptr);
         }
         while (!m_transfers.empty())
             abandon(m_transfers.begin()->first);
@@ -159,6 +159,7 @@
     }
 
     CURLM* const m_multi;
+    std::unique_ptr<curl_event_loop> m_loop;
     mutex m_mutex { lock_rank::Leaf };
     std::deque<command> m_commands ABSL_GUARDED_BY(m_mutex);
     http_exchange_id m_nextId ABSL_GUARDED_BY(m_mutex) { 1 };
