Tests: Wait by std::promise where ThreadSanitizer watches

Cause: absl::Notification of Debian is not instrumented, so that ThreadSanitizer reported four false races in the tests of LibHttp; a suppression was ruled out, since it would hide real ones too. Change: std::promise and std::future in these tests.

--- a/Tests/LibHttp/http_client_test.cpp
+++ b/Tests/LibHttp/http_client_test.cpp
@@ -2,7 +2,7 @@
 #include <Tests/LibHttp/raw_socket_target.h>
 
 #include <absl/strings/match.h>
-#include <absl/synchronization/notification.h>
+#include <future>
 #include <gtest/gtest.h>
 
 namespace merlinpier {
@@ -129,15 +129,15 @@
 {
     raw_socket_target target([](auto const&, auto) { return raw_reply {}; });
     auto client = http_client::create();
-    absl::Notification ended;
+    std::promise<void> ended;
     error_kind kind = error_kind::Internal;
     auto const id = client->send(post(target.url("/"), "x", connection_reuse::Allowed), [&](auto outcome) {
         kind = failureKind(outcome);
-        ended.Notify();
+        ended.set_value();
     });
     target.waitForRequests(1);
     client->cancel(id);
-    ended.WaitForNotification();
+    ended.get_future().wait();
     target.waitForClosedConnection();
     EXPECT_EQ(kind, error_kind::OutcomeUnknown);
 }
--- a/Tests/LibHttp/http_server_test.cpp
+++ b/Tests/LibHttp/http_server_test.cpp
@@ -2,9 +2,9 @@
 #include <LibHttp/http_client.h>
 #include <LibHttp/http_server.h>
 
-#include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
 #include <atomic>
+#include <future>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -135,13 +135,13 @@
     auto client = http_client::create();
     auto const id = client->send(requestTo(*server, "POST"), [](auto) {});
     auto const responder = handler.take(1).at(0).second;
-    absl::Notification gone;
-    responder->setDisconnectHandler([&] { gone.Notify(); });
+    std::promise<void> gone;
+    responder->setDisconnectHandler([&] { gone.set_value(); });
     client->cancel(id);
-    gone.WaitForNotification();
-    absl::Notification goneAlready;
-    responder->setDisconnectHandler([&] { goneAlready.Notify(); });
-    EXPECT_TRUE(goneAlready.HasBeenNotified());
+    gone.get_future().wait();
+    bool wasGoneAlready = false;
+    responder->setDisconnectHandler([&] { wasGoneAlready = true; });
+    EXPECT_TRUE(wasGoneAlready);
     responder->respond(jsonResponse(200, "{}"));
 }
 
@@ -150,18 +150,18 @@
     keeping_handler handler;
     auto server = serve(handler);
     auto client = http_client::create();
-    absl::Notification ended;
+    std::promise<void> ended;
     std::string body;
     client->send(requestTo(*server, "GET"), [&](result<http_response> outcome) {
         body = outcome.isError() ? outcome.failure().text() : outcome.value().body;
-        ended.Notify();
+        ended.set_value();
     });
     auto const responder = handler.take(1).at(0).second;
     responder->setDisconnectHandler([] { ADD_FAILURE() << "an answered request cannot be disconnected"; });
     responder->respond({ 200, {}, "first" });
     responder->respond({ 200, {}, "second" });
     responder->closeWithoutAnswer();
-    ended.WaitForNotification();
+    ended.get_future().wait();
     EXPECT_EQ(body, "first");
 }
 
@@ -170,16 +170,16 @@
     keeping_handler handler;
     auto server = serve(handler);
     auto client = http_client::create();
-    absl::Notification ended;
+    std::promise<void> ended;
     error_kind kind = error_kind::Internal;
     auto request = requestTo(*server, "POST");
     request.reuse = connection_reuse::Forbidden;
     client->send(request, [&](result<http_response> outcome) {
         kind = outcome.isError() ? outcome.failure().kind : error_kind::Internal;
-        ended.Notify();
+        ended.set_value();
     });
     handler.take(1).at(0).second->closeWithoutAnswer();
-    ended.WaitForNotification();
+    ended.get_future().wait();
     EXPECT_EQ(kind, error_kind::OutcomeUnknown);
 }
 
@@ -188,15 +188,15 @@
     keeping_handler handler;
     auto server = serve(handler);
     auto client = http_client::create();
-    absl::Notification ended;
+    std::promise<void> ended;
     int status = 0;
     client->send(requestTo(*server, "GET"), [&](result<http_response> outcome) {
         status = outcome.isError() ? 0 : outcome.value().status;
-        ended.Notify();
+        ended.set_value();
     });
     auto const kept = handler.take(1);
     server->stop();
-    ended.WaitForNotification();
+    ended.get_future().wait();
     EXPECT_EQ(status, 503);
 }
 
