--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include <LibCalls/acknowledgement_batch.h>
 #include <LibCalls/call_record.h>
 #include <LibCalls/caller_request.h>
 #include <LibCore/generator.h>
 #include <LibCore/time.h>
-#include <LibRouting/retry_budget.h>
+#include <LibRouting/retry_budgets.h>
 #include <LibRouting/target_chooser.h>
 #include <LibWire/message.h>
 #include <map>
@@ -125,15 +126,23 @@
 
 private:
     using actions = std::vector<client_action>;
+    // What the end of an attempt shows about its target.
+    struct attempt_ending {
+        attempt_outcome outcome { attempt_outcome::Answered };
+        std::optional<std::uint32_t> loadPermille;
+    };
 
     call_record* findByAttempt(std::string const& attempt);
     bool joinInProgress(caller_request const&);
     std::optional<route_target> chooseTarget(call_record const&, time_point now, generator&) const;
     void send(call_record&, time_point now, generator&, actions&);
     call_request makeCall(call_record const&, route_target const&, time_point now) const;
-    void endAttempt(call_record&, attempt_outcome, std::optional<std::uint32_t> loadPermille, time_point now);
-    bool mayRetry(call_record const&, time_point now);
-    void retryNotRun(call_record&, call_not_run, time_point now, generator&, actions&);
+    void endAttempt(call_record&, attempt_ending, time_point now);
+    bool hasAttemptLeft(call_record const&, time_point now) const;
+    bool tryTakeBudget(call_record const&, time_point now);
+    bool isWorthRetry(call_record const&, refusal_reason, time_point now, generator&) const;
+    void retryNotRun(call_record&, attempt_ending, call_not_run, time_point now, generator&, actions&);
+    void retryUnreachable(call_record&, time_point now, generator&, actions&);
     void retryLost(call_record&, std::string message, time_point now, generator&, actions&);
     void complete(call_record&, final_outcome, actions&);
     void expire(call_record&, time_point now, actions&);
@@ -145,8 +154,6 @@
     void handle(std::string const& address, call_query_answer const&, time_point now, generator&, actions&);
     void handleStatus(std::string const& address, call_status const&, time_point now, generator&, actions&);
     void handleNeverAdmitted(call_record&, time_point now, generator&, actions&);
-    void acknowledge(std::string const& address, std::string const& attempt);
-    void flushAcknowledgements(actions&);
     std::vector<std::string> callsAt(std::string const& address) const;
 
     call_client_settings m_settings;
@@ -155,8 +162,10 @@
     std::map<std::string, call_record> m_calls;
     // The call of each attempt that has not ended.
     std::map<std::string, std::string> m_attempts;
-    std::map<std::string, retry_budget> m_budgets;
-    std::map<std::string, std::vector<std::string>> m_acknowledgements;
+    // Attempts sent and not ended, by address of the daemon.
+    std::map<std::string, std::size_t> m_outstanding;
+    retry_budgets m_budgets;
+    acknowledgement_batch m_acknowledgements;
     std::uint64_t m_lastAttempt { 0 };
     call_client_totals m_totals;
 };
