--- a/Tests/System/cluster.cpp
+++ b/Tests/System/cluster.cpp
@@ -204,6 +204,54 @@
     });
 }
 
+void cluster::startTargowisko()
+{
+    std::uint64_t version = 0;
+    int next = 0;
+    for (std::string const service : { "zones", "slots", "bookings" }) {
+        auto const accepted = submitFile(0, "examples/targowisko/" + service + ".json");
+        ASSERT_FALSE(accepted.isError());
+        ASSERT_EQ(accepted.value().status, 200) << accepted.value().body;
+        version = nlohmann::json::parse(accepted.value().body)["version"].get<std::uint64_t>();
+        ASSERT_TRUE(waitInForce(0, version));
+        auto const answers = read(httpAddress(0), "/config/services/" + service)["answers"];
+        for (auto const& licence : answers["licences"]) {
+            startTarget(next % vmCount(), service, licence.get<std::string>(), { "--work-ms", "3" });
+            ++next;
+        }
+        for (int vm = 0; vm < vmCount(); ++vm)
+            ASSERT_TRUE(waitForTargets(vm, service, answers["licences"].size()));
+    }
+}
+
+nlohmann::json cluster::loadBookings(std::vector<int> const& vms, double seconds,
+    std::function<void()> const& meanwhile, std::vector<std::string> const& arguments)
+{
+    std::vector<std::string> all { "--mix", std::string(MERLINPIER_SOURCE_DIR) + "/examples/targowisko/bookings.json",
+        "--seconds", std::to_string(seconds), "--rate", "150", "--json" };
+    for (int const vm : vms)
+        all.insert(all.end(), { "--daemon", httpAddress(vm) });
+    for (auto const& [id, process] : m_targets)
+        all.insert(all.end(), { "--ledger", targetAddress(id) });
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    auto const before = ranByRequest().size();
+    child_process load("merlinpier-load", all, m_folder + "/load.log");
+    waitFor("calls of the load", [&] { return ranByRequest().size() > before + 20 || !load.isRunning(); });
+    meanwhile();
+    int const code = load.waitForEnd();
+    EXPECT_EQ(code, 0) << load.log();
+    // The result is the last line.
+    auto text = load.log();
+    text.erase(text.find_last_not_of('\n') + 1);
+    return nlohmann::json::parse(text.substr(text.rfind('\n') + 1), nullptr, false);
+}
+
+std::size_t cluster::runsOf(std::string const& target)
+{
+    auto const ledger = read(targetAddress(target), "/ledger");
+    return ledger.is_object() ? ledger["ran"].size() : 0;
+}
+
 std::map<std::string, int> cluster::ranByRequest()
 {
     std::map<std::string, int> ran;
--- a/Tests/System/cluster.h
+++ b/Tests/System/cluster.h
@@ -59,6 +59,15 @@
     bool waitInForce(int vm, std::uint64_t version);
     // Waits until a daemon routes to that many targets of the service.
     bool waitForTargets(int vm, std::string const& service, std::size_t count);
+    // Starts the services bookings, slots and zones of Targowisko with their licensed copies spread over the VMs, each
+    // call taking a few milliseconds, and waits until every daemon routes to all of them.
+    void startTargowisko();
+    // Runs merlinpier-load on the bookings of Targowisko through the daemons named, calls back once calls have begun to
+    // run, and returns its JSON result. Its exit code tells whether a promise was broken; see merlinpier-load --help.
+    nlohmann::json loadBookings(std::vector<int> const& vms, double seconds, std::function<void()> const& meanwhile,
+        std::vector<std::string> const& arguments = {});
+    // The number of runs that a target's ledger counts.
+    std::size_t runsOf(std::string const& target);
     // Everything that the targets ran, by Request-Id.
     std::map<std::string, int> ranByRequest();
 
