LibCalls: Never call a call not run after an attempt that may have run

Ruled out: the fence and the query, which only answer for the attempt that they are asked about. Change: the call remembers that an attempt may have run, and a later refusal ends it as outcome unknown. Refusals are counted by reason in the metrics. Conclusion: not run needs proof for every attempt, not for the last one.

--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -311,6 +311,7 @@
         complete(record, call_outcome_unknown { std::move(message) }, out);
         return;
     }
+    record.mayHaveRun = true;
     ++m_totals.retries;
     send(record, now, random, out);
 }
@@ -318,6 +319,9 @@
 // Ends the call; the record is gone afterwards.
 void call_client::complete(call_record& record, final_outcome outcome, actions& out)
 {
+    if (auto const* refusal = std::get_if<call_not_run>(&outcome); refusal && record.mayHaveRun)
+        outcome = call_outcome_unknown { "an earlier attempt may have run, and a later one was refused: "
+            + refusal->message };
     m_totals.answered += std::holds_alternative<call_answered>(outcome);
     m_totals.notRun += std::holds_alternative<call_not_run>(outcome);
     m_totals.unknown += std::holds_alternative<call_outcome_unknown>(outcome);
--- a/Libraries/LibCalls/call_record.h
+++ b/Libraries/LibCalls/call_record.h
@@ -15,6 +15,8 @@
     // Targets that were tried, and how often in all.
     std::set<std::string> tried;
     std::uint32_t attempts { 0 };
+    // An earlier attempt may have run, so no later refusal proves that the call was not run.
+    bool mayHaveRun { false };
     std::optional<call_attempt> attempt;
     // Callers that wait for this one answer: more than one if a key was repeated meanwhile.
     std::uint32_t callers { 1 };
--- a/Services/Daemon/call_gateway.cpp
+++ b/Services/Daemon/call_gateway.cpp
@@ -163,6 +163,8 @@
     auto const spent = std::chrono::duration<double, std::milli>(currentTime() - caller.startedAt);
     m_metrics.observe("merlinpier_call_ms", spent.count());
     m_metrics.add(std::string("merlinpier_calls_total{outcome=\"") + outcomeName(finished.outcome) + "\"}");
+    if (auto const* refused = std::get_if<call_not_run>(&finished.outcome))
+        m_metrics.add(std::string("merlinpier_calls_not_run_total{reason=\"") + reasonName(refused->reason) + "\"}");
     caller.responder->respond(callerAnswer(finished.id, finished.outcome));
 }
 
--- a/Services/Daemon/caller_answer.cpp
+++ b/Services/Daemon/caller_answer.cpp
@@ -93,6 +93,8 @@
     return std::holds_alternative<call_not_run>(outcome) ? "not-run" : "unknown";
 }
 
+char const* reasonName(refusal_reason reason) { return describe(reason).name; }
+
 http_response callerAnswer(std::string const& callId, final_outcome const& outcome)
 {
     http_response response;
--- a/Services/Daemon/caller_answer.h
+++ b/Services/Daemon/caller_answer.h
@@ -9,6 +9,9 @@
 // The value of the header Merlinpier-Outcome: answered, not-run or unknown.
 char const* outcomeName(final_outcome const&);
 
+// The name of a refusal's reason, as in the JSON body of an answer and in metrics.
+char const* reasonName(refusal_reason);
+
 // The whole HTTP answer to a caller for the final outcome of its call.
 http_response callerAnswer(std::string const& callId, final_outcome const&);
 
--- a/Tests/System/cluster.cpp
+++ b/Tests/System/cluster.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <sstream>
 #include <thread>
 #include <unistd.h>
 
@@ -41,11 +42,24 @@
     std::filesystem::create_directories(m_folder);
 }
 
+// What a daemon answered as not run, for the report of a failed test.
+std::string cluster::notRunMetrics(int vm)
+{
+    auto const answer = send(httpAddress(vm), "GET", "/metrics");
+    std::istringstream lines(answer.isError() ? "" : answer.value().body);
+    std::string found;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.find("not_run_total{") != std::string::npos)
+            found += line + "\n";
+    }
+    return found;
+}
+
 cluster::~cluster()
 {
     if (::testing::Test::HasFailure()) {
         for (auto& [vm, process] : m_daemons)
-            std::cerr << "--- " << vmName(vm) << "\n" << process->log();
+            std::cerr << "--- " << vmName(vm) << "\n" << process->log() << notRunMetrics(vm);
     }
     m_targets.clear();
     m_daemons.clear();
--- a/Tests/System/cluster.h
+++ b/Tests/System/cluster.h
@@ -73,6 +73,7 @@
 
 private:
     void writeSettings(int vm) const;
+    std::string notRunMetrics(int vm);
 
     cluster_options m_options;
     std::string m_folder;
