LibConfiguration: Look for objects whose write is in doubt

Cause: on real processes with the stand-in losing every answer to a write, a revision ended "unavailable" after its deadline although nothing stood in its way: a fragment whose write had an unknown outcome was sent again, and that answer was lost too, without end. Ruled out: taking an unknown outcome as written, since the head must never name what is not stored. Change: after an unknown outcome the session reads the object and writes it again only if it is absent, which also spares the bytes.

--- a/Libraries/LibConfiguration/commit_session.cpp
+++ b/Libraries/LibConfiguration/commit_session.cpp
@@ -100,6 +100,8 @@
     actions writeObjects(time_point);
     actions writeHead(time_point);
     actions didWriteObject(std::string const& key, result<stored_object> const&, time_point, generator&);
+    actions didReadDoubtful(std::string const& key, bool isThere, time_point, generator&);
+    actions didSettleObject(time_point, generator&);
     actions didWriteHead(result<stored_object> const&, time_point, generator&);
 
     actions issue(commit_phase, std::set<std::string> const& keys, time_point);
@@ -134,6 +136,8 @@
     // The version to come.
     std::map<std::string, std::string> m_newObjects;
     std::set<std::string> m_writtenKeys;
+    // Objects whose write may have taken effect: they are looked for before they are sent again.
+    std::set<std::string> m_doubtfulKeys;
     std::string m_nextHead;
     accepted_submission m_accepted;
     std::optional<unresolved_update> m_unresolved;
@@ -165,7 +169,7 @@
     std::string const& key, result<std::optional<stored_object>> const& answer, time_point now, generator& source)
 {
     bool const isReading = m_phase == commit_phase::ReadingHead || m_phase == commit_phase::ReadingManifest
-        || m_phase == commit_phase::ReadingFragments;
+        || m_phase == commit_phase::ReadingFragments || m_doubtfulKeys.contains(key);
     if (!isReading || m_pending.erase(key) == 0)
         return {};
     if (answer.isError())
@@ -175,6 +179,8 @@
         return didReadHead(answer.value(), now, source);
     if (m_phase == commit_phase::ReadingManifest)
         return didReadManifest(answer.value(), now);
+    if (m_phase == commit_phase::WritingObjects)
+        return didReadDoubtful(key, answer.value().has_value(), now, source);
     return didReadFragment(key, answer.value(), now, source);
 }
 
@@ -374,7 +380,7 @@
     std::string const& key, result<stored_object> const& answer, time_point now, generator& source)
 {
     bool const isWriting = m_phase == commit_phase::WritingObjects || m_phase == commit_phase::WritingHead;
-    if (!isWriting || m_pending.erase(key) == 0)
+    if (!isWriting || m_doubtfulKeys.contains(key) || m_pending.erase(key) == 0)
         return {};
     if (m_phase == commit_phase::WritingHead)
         return didWriteHead(answer, now, source);
@@ -385,10 +391,29 @@
     std::string const& key, result<stored_object> const& answer, time_point now, generator& source)
 {
     // The key names the content, so an object that is there already is the one that was to be written.
-    if (answer.isError() && answer.failure().kind != error_kind::Conflict)
+    if (answer.isError() && answer.failure().kind != error_kind::Conflict) {
+        if (answer.failure().kind == error_kind::OutcomeUnknown)
+            m_doubtfulKeys.insert(key);
         return didFailCall(key, answer.failure(), now, source);
+    }
     m_backOff.didSucceed();
     m_writtenKeys.insert(key);
+    return didSettleObject(now, source);
+}
+
+actions commit_session::state::didReadDoubtful(std::string const& key, bool isThere, time_point now, generator& source)
+{
+    m_doubtfulKeys.erase(key);
+    if (isThere)
+        m_writtenKeys.insert(key);
+    else
+        m_failed.insert(key);
+    return didSettleObject(now, source);
+}
+
+// The head may name the objects only once all of them are stored.
+actions commit_session::state::didSettleObject(time_point now, generator& source)
+{
     if (!m_pending.empty())
         return {};
     if (!m_failed.empty())
@@ -470,7 +495,7 @@
 {
     if (m_phase == commit_phase::WritingHead)
         return write_object { key, m_nextHead, { m_headRevision } };
-    if (m_phase == commit_phase::WritingObjects)
+    if (m_phase == commit_phase::WritingObjects && !m_doubtfulKeys.contains(key))
         return write_object { key, m_newObjects.at(key), { 0 } };
     return read_object { key };
 }
--- a/Tests/LibConfiguration/commit_session_test.cpp
+++ b/Tests/LibConfiguration/commit_session_test.cpp
@@ -173,6 +173,20 @@
     EXPECT_EQ(driver.failed(submit("a", sampleAnswers("bookings"))).kind, error_kind::BadInput);
 }
 
+TEST(CommitSession, LooksForObjectsWhoseWriteIsInDoubtInsteadOfSendingThemAgain)
+{
+    constexpr int always = 1000000;
+    session_driver driver;
+    auto const set = buildSet(1, { sampleAnswers("slots") }).value();
+    for (auto const& key : { manifestKey(set->digest()), fragmentKey(set->digests()[0]), std::string(headKey) })
+        driver.failures["answer " + key] = { error_kind::OutcomeUnknown, always };
+    // Never gets on its way at first.
+    driver.failures["write " + manifestKey(set->digest())] = { error_kind::OutcomeUnknown, 1 };
+    EXPECT_EQ(driver.accepted(submit("a", sampleAnswers("slots"))).version, 1u);
+    EXPECT_EQ(std::count(driver.writes.begin(), driver.writes.end(), fragmentKey(set->digests()[0])), 1);
+    EXPECT_EQ(std::count(driver.writes.begin(), driver.writes.end(), manifestKey(set->digest())), 2);
+}
+
 TEST(CommitSession, RemembersABoundedNumberOfSubmissions)
 {
     session_driver driver;
