LibConfiguration: Let an ended session take late answers without acting

Change: such answers count only while objects are being written; the race reports a session that acts after its end instead of crashing (seen failing first: "a session acted after it had ended" after 73 schedules on both properties). POST /config/check now checks against the configuration in force (checkAnswers), as the design says: on real processes a dependency on a service that did not exist passed the check and was refused only at submission. Conclusion: two hundred schedules are a short check; longer runs belong to every change of the session.

--- a/Libraries/LibConfiguration/commit_session.cpp
+++ b/Libraries/LibConfiguration/commit_session.cpp
@@ -169,7 +169,8 @@
     std::string const& key, result<std::optional<stored_object>> const& answer, time_point now, generator& source)
 {
     bool const isReading = m_phase == commit_phase::ReadingHead || m_phase == commit_phase::ReadingManifest
-        || m_phase == commit_phase::ReadingFragments || m_doubtfulKeys.contains(key);
+        || m_phase == commit_phase::ReadingFragments
+        || (m_phase == commit_phase::WritingObjects && m_doubtfulKeys.contains(key));
     if (!isReading || m_pending.erase(key) == 0)
         return {};
     if (answer.isError())
--- a/Services/Daemon/operator_api.cpp
+++ b/Services/Daemon/operator_api.cpp
@@ -166,10 +166,10 @@
     auto const answers = parseQuestionnaire(request.body);
     if (answers.isError())
         return errorResponse(answers.failure());
-    auto const applied = m_daemon.configuration().applied();
-    auto const* current = applied->service(answers.value().service);
-    auto const generated = generateService(answers.value(), current ? current->revision + 1 : 1);
-    return jsonResponse(200, serializeService(generated));
+    auto const generated = checkAnswers(answers.value(), *m_daemon.configuration().applied());
+    if (generated.isError())
+        return errorResponse(generated.failure());
+    return jsonResponse(200, serializeService(generated.value()));
 }
 
 http_response operator_api::services() const
--- a/Tests/LibConfiguration/commit_race.cpp
+++ b/Tests/LibConfiguration/commit_race.cpp
@@ -244,7 +244,10 @@
     auto const actions = std::holds_alternative<read_object>(call.action)
         ? call.session->didRead(std::get<read_object>(call.action).key, call.readAnswer, m_now, m_generator)
         : call.session->didWrite(std::get<write_object>(call.action).key, call.writeAnswer, m_now, m_generator);
-    perform(*owner, actions);
+    if (call.session == owner->session)
+        perform(*owner, actions);
+    else
+        m_hasLateAction = m_hasLateAction || !actions.empty();
 }
 
 void commit_race::fireTimer(operator_state& owner)
@@ -325,6 +328,8 @@
 
 std::optional<std::string> commit_race::findViolation() const
 {
+    if (m_hasLateAction)
+        return "a session acted after it had ended";
     replay history { *this };
     for (auto const& update : m_updates) {
         if (auto fault = history.take(update))
--- a/Tests/LibConfiguration/commit_race.h
+++ b/Tests/LibConfiguration/commit_race.h
@@ -91,6 +91,7 @@
     std::vector<std::shared_ptr<operation>> m_operations;
     std::vector<submission_record> m_records;
     std::vector<head_update> m_updates;
+    bool m_hasLateAction { false };
 };
 
 } // namespace merlinpier
