--- a/Tests/LibDistribution/distributor_test.cpp
+++ b/Tests/LibDistribution/distributor_test.cpp
@@ -174,7 +174,9 @@
     time_point const now { seconds(1) };
     auto const fragments = fragmentsOf(invalidAnswers(), 1);
     configuration_answer const invalid { 3, serializeManifest(manifestOf(3, fragments, 1)), fragments };
-    EXPECT_TRUE(std::holds_alternative<version_refused>(daemon.didReceive("r", invalid, now).at(0)));
+    auto const actions = daemon.didReceive("r", invalid, now);
+    ASSERT_EQ(actions.size(), 1u) << "refused, and not asked for again";
+    EXPECT_TRUE(std::holds_alternative<version_refused>(actions[0]));
     EXPECT_TRUE(asked(daemon.didHearVersion("r", 3, now)).empty()) << "it would only be refused again";
     daemon.didReceive("r", answerOf(*versionOf(2)), now);
     EXPECT_EQ(daemon.store().applied()->version(), 2u);
