LibMembership: Keep the relays after a pause of one's own

Cause: a daemon that was paused took its relays for silent when it resumed, because its last heartbeats had no answer, left them alone and took itself for a relay, which watches the platform (KeepsItsRelaysAfterAPauseOfItsOwn failed: relays {a-3} for {a-2, a-1}). Ruled out: waiting for the next heartbeat round, which is late for a herd of resumed daemons.

Change: a gap between reviews beyond half the suspicion timeout makes the missing answers count for nothing.

Two new ones state what holds when the floor arrives late and when all who knew a version are gone.

--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -55,6 +55,8 @@
         m_startedAt = now;
     actions actions;
     if (now >= m_nextReview) {
+        if (now - m_nextReview > m_settings.suspectTimeout / 2)
+            m_peers.forgetUnanswered();
         m_nextReview = now + reviewPeriod;
         m_peers.expire(now, m_settings.goneRetention);
         m_peers.avoidUnanswering(now, m_settings.heartbeatPeriod * unansweredPeriods);
--- a/Libraries/LibMembership/peer_directory.cpp
+++ b/Libraries/LibMembership/peer_directory.cpp
@@ -45,6 +45,12 @@
     }
 }
 
+void peer_directory::forgetUnanswered()
+{
+    for (auto& [address, peer] : m_peers)
+        peer.unansweredSince.reset();
+}
+
 void peer_directory::avoidAfterFailure(std::string const& address, time_point now)
 {
     auto& peer = m_peers[address];
--- a/Libraries/LibMembership/peer_directory.h
+++ b/Libraries/LibMembership/peer_directory.h
@@ -23,6 +23,8 @@
     void didSendHeartbeat(std::string const& address, time_point now, duration untilNext);
     // Leaves alone each peer that has not answered a heartbeat within the timeout.
     void avoidUnanswering(time_point now, duration timeout);
+    // This daemon itself was paused, so that missing answers say nothing about the peers.
+    void forgetUnanswered();
     // Leaves a peer alone, twice as long after each failure in a row.
     void avoidAfterFailure(std::string const& address, time_point now);
     void avoidUntil(std::string const& address, time_point);
--- a/Tests/LibDistribution/distributor_test.cpp
+++ b/Tests/LibDistribution/distributor_test.cpp
@@ -292,7 +292,7 @@
     generator source(1);
     int calls = 0;
     for (time_point now { seconds(1) }; now < time_point(seconds(61)); now += milliseconds(10)) {
-        for (auto actions = relay.tick(now, source); !actions.empty(); ++calls)
+        for (auto actions = relay.tick(now, source); !actions.empty() && calls < 100; ++calls)
             actions = relay.didWatchPlatform(std::optional<stored_object>(), now, source);
     }
     EXPECT_LE(calls, 20);
@@ -372,6 +372,41 @@
     EXPECT_TRUE(restarted.store().isReady());
 }
 
+TEST(Distributor, IsNoLongerReadyWhenItsFloorArrivesLate)
+{
+    distributor restarted({});
+    restarted.setPeers(toRelays({ "r1", "r2" }));
+    generator source(1);
+    time_point const now { seconds(1) };
+    restarted.didReceive("r1", answerOf(*versionOf(5)), now);
+    EXPECT_TRUE(restarted.store().isReady());
+    restarted.raiseFloor(7);
+    EXPECT_FALSE(restarted.store().isReady());
+    EXPECT_EQ(asked(restarted.tick(now, source)).size(), 1u);
+    restarted.didReceive("r2", answerOf(*versionOf(8)), now);
+    EXPECT_TRUE(restarted.store().isReady());
+}
+
+TEST(Distributor, TakesThePlatformsVersionWhenAllWhoKnewAreGone)
+{
+    exchange exchange(6);
+    startZones(exchange);
+    exchange.commit(answersWith(1));
+    exchange.run(seconds(2));
+    exchange.isCutFromPlatform = [](auto&) {
+        return true;
+    };
+    startZones(exchange);
+    exchange.run(seconds(30));
+    EXPECT_TRUE(exchange.allHave(0));
+    EXPECT_FALSE(exchange.at("a3").store().isReady());
+    exchange.isCutFromPlatform = [](auto&) {
+        return false;
+    };
+    exchange.run(seconds(7));
+    EXPECT_TRUE(exchange.allHave(1));
+}
+
 TEST(Distributor, ReportsAHeadThatCannotBeReadAndGoesOn)
 {
     distributor relay({});
--- a/Tests/LibMembership/member_test.cpp
+++ b/Tests/LibMembership/member_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -101,6 +102,55 @@
         RC_ASSERT(record.state == member_state::Alive);
 }
 
+TEST(SilenceDetector, BlamesNobodyForTheTimeThatItWasPausedItself)
+{
+    membership_table table;
+    for (int i = 0; i < 4; ++i) {
+        member_record record;
+        record.vm = "vm" + std::to_string(i);
+        record.zone = "a";
+        record.incarnation = 1;
+        table.merge(record);
+    }
+    silence_detector detector(seconds(3), 0.5);
+    time_point now { seconds(100) };
+    detector.observe(table, "a", "vm0", now);
+    now += seconds(60);
+    detector.observe(table, "a", "vm0", now);
+    EXPECT_TRUE(detector.suspects(now).empty());
+    for (int second = 0; second < 7; ++second) {
+        now += seconds(1);
+        detector.observe(table, "a", "vm0", now);
+        detector.didHear("vm1", now);
+        detector.didHear("vm2", now);
+    }
+    EXPECT_EQ(detector.suspects(now), std::vector<std::string> { "vm3" });
+    EXPECT_EQ(detector.gone(table, now), std::vector<std::string> { "vm3" });
+}
+
+TEST(Member, KeepsItsRelaysAfterAPauseOfItsOwn)
+{
+    fleet fleet(11);
+    startZones(fleet, 4);
+    fleet.run(settleTime);
+    auto const vm = rankRelays(fleet.at("a-0").table(), "a")[3];
+    // Whatever it had sent when it was paused is unanswered.
+    fleet.isCut = [&](auto& from, auto& to) {
+        return from == vm || to == vm;
+    };
+    fleet.run(milliseconds(1200));
+    auto const relays = fleet.at(vm).relays();
+    fleet.pause(vm);
+    fleet.run(seconds(4));
+    fleet.isCut = [](auto&, auto&) {
+        return false;
+    };
+    fleet.resume(vm);
+    fleet.run(milliseconds(20));
+    EXPECT_EQ(fleet.at(vm).relays(), relays);
+    EXPECT_FALSE(fleet.at(vm).isRelay());
+}
+
 TEST(Member, IsGoneAfterSilenceAndRefutesWhenItResumes)
 {
     fleet fleet(3);
@@ -110,7 +160,7 @@
     fleet.run(seconds(9));
     EXPECT_EQ(stateSeen(fleet, "c-1", "a-2"), member_state::Gone);
     fleet.resume("a-2");
-    fleet.run(seconds(5));
+    fleet.run(milliseconds(800));
     for (auto const& [vm, member] : fleet.members())
         EXPECT_EQ(member->table().find("a-2")->state, member_state::Alive) << vm;
     EXPECT_EQ(fleet.at("a-2").self().incarnation, 2u);
@@ -130,7 +180,9 @@
     for (auto const& [vm, member] : fleet.members()) {
         if (!isInZone(vm, 'a'))
             continue;
-        EXPECT_EQ(member->relays().size() + (member->isRelay() ? 1u : 0u), 2u) << vm;
+        auto const relays = member->relays();
+        EXPECT_EQ(relays.size() + (member->isRelay() ? 1u : 0u), 2u) << vm;
+        EXPECT_EQ(std::count(relays.begin(), relays.end(), relay), 0) << vm;
     }
     fleet.run(seconds(6));
     EXPECT_EQ(stateSeen(fleet, "b-0", relay), member_state::Gone);
--- a/Tests/LibMembership/membership_table_test.cpp
+++ b/Tests/LibMembership/membership_table_test.cpp
@@ -113,7 +113,8 @@
     membership_table table;
     table.merge(record("old", 1, 1, member_state::Gone, 3));
     table.merge(record("vm", 1, 1));
-    auto const digest = table.digest();
+    auto const digest = merged({ record("vm", 1, 1) }).digest();
+    EXPECT_EQ(table.digest(), digest);
     table.expire(time_point(seconds(1)), seconds(10));
     EXPECT_TRUE(table.find("old"));
     table.expire(time_point(seconds(12)), seconds(10));
