--- a/Libraries/LibRouting/routing_snapshot.cpp
+++ b/Libraries/LibRouting/routing_snapshot.cpp
@@ -93,6 +93,14 @@
     return holders;
 }
 
+bool holdsTarget(member_record const& member, std::string const& id, std::string const& service,
+    configuration_set const& configuration)
+{
+    return std::any_of(member.targets.begin(), member.targets.end(), [&](target_record const& record) {
+        return record.id == id && record.service == service && isRoutable(member, record, configuration);
+    });
+}
+
 error danglingRoute(std::string const& what)
 {
     return { error_kind::Internal, "route dangles: " + what,
@@ -161,12 +169,7 @@
             auto const member = membership.records().find(target.vm);
             if (member == membership.records().end())
                 return danglingRoute("VM " + target.vm + " of target " + target.id + " is not a member");
-            bool const isKnown
-                = std::any_of(member->second.targets.begin(), member->second.targets.end(), [&](auto const& record) {
-                      return record.id == target.id && record.service == name
-                          && isRoutable(member->second, record, configuration);
-                  });
-            if (!isKnown)
+            if (!holdsTarget(member->second, target.id, name, configuration))
                 return danglingRoute("target " + target.id + " of service " + name + " is not ready at its VM");
         }
     }
--- a/Tests/LibCalls/call_world.cpp
+++ b/Tests/LibCalls/call_world.cpp
@@ -270,7 +270,7 @@
             applyServer(server, report(*owner.decisions));
         });
     };
-    if (happens(m_settings.faults.unreachable))
+    if (m_settings.downTarget == server || happens(m_settings.faults.unreachable))
         return end(milliseconds(1), [=, this](call_server& decisions) { return decisions.didFail(id, m_now); });
     call_answer answer;
     answer.status = 200;
--- a/Tests/LibCalls/call_world.h
+++ b/Tests/LibCalls/call_world.h
@@ -37,6 +37,8 @@
     // Mean of the work of a call; it is evenly distributed between half and one and a half of it.
     milliseconds work { 20 };
     milliseconds reportWork { 100 };
+    // A target whose daemon lives but cannot reach it.
+    std::optional<std::size_t> downTarget;
     fault_rates faults;
     std::uint64_t seed { 1 };
 };
--- a/Tests/LibCalls/overload_test.cpp
+++ b/Tests/LibCalls/overload_test.cpp
@@ -173,6 +173,15 @@
     EXPECT_LT(2 * chosen.retryShare, drawn.retryShare);
 }
 
+TEST(Overload, ATargetThatIsDownCostsFewRetries)
+{
+    auto load = makeLoad(0.4);
+    load.world.downTarget = 0;
+    auto const figures = show("one target of three down", load);
+    EXPECT_GE(figures.interactiveGoodput, 0.995 * figures.interactiveOffered);
+    EXPECT_LT(figures.retryShare, 0.05);
+}
+
 TEST(Overload, CallersThatComeBackWhenToldDoNotAddToAPeak)
 {
     auto load = makeLoad(2);
