LibNet: Mend what the linter found; test large answers too

Cause: clang-tidy had not been run over the wire and network code: it judged the generated header by our names, and two tests had protected members without m_; a mutation that never re-armed writing on an accepted connection survived.

--- a/Libraries/LibNet/link_table.cpp
+++ b/Libraries/LibNet/link_table.cpp
@@ -60,7 +60,7 @@
         return actions;
     }
     loseCurrent(*link, actions);
-    link->current = std::move(link->opening);
+    link->current = link->opening;
     link->opening.reset();
     link->current->instance = answer.instance;
     link->current->heardAt = now;
--- a/Tests/LibNet/transport_test.cpp
+++ b/Tests/LibNet/transport_test.cpp
@@ -36,23 +36,23 @@
 protected:
     void SetUp() override
     {
-        client = create(clientEvents);
-        server = create(serverEvents, serverSettings());
-        ASSERT_TRUE(client && server);
+        m_client = create(m_clientEvents);
+        m_server = create(m_serverEvents, serverSettings());
+        ASSERT_TRUE(m_client && m_server);
     }
     void TearDown() override
     {
-        client->stop();
-        server->stop();
+        m_client->stop();
+        m_server->stop();
     }
     virtual transport_settings serverSettings() const { return {}; }
 
-    endpoint serverEndpoint() const { return { "127.0.0.1", server->port() }; }
+    endpoint serverEndpoint() const { return { "127.0.0.1", m_server->port() }; }
 
-    recording_listener clientEvents;
-    recording_listener serverEvents;
-    std::unique_ptr<transport> client;
-    std::unique_ptr<transport> server;
+    recording_listener m_clientEvents;
+    recording_listener m_serverEvents;
+    std::unique_ptr<transport> m_client;
+    std::unique_ptr<transport> m_server;
 };
 
 class SmallTransportTest : public TransportTest {
@@ -67,45 +67,48 @@
 
 TEST_F(TransportTest, CarriesFramesBothWaysInOrder)
 {
-    auto const id = client->connect(serverEndpoint());
+    auto const id = m_client->connect(serverEndpoint());
     std::vector<std::string> sent;
     for (int i = 0; i < 300; ++i)
         sent.push_back(std::string(static_cast<std::size_t>(i * 37), static_cast<char>(i)));
     for (auto const& frame : sent)
-        client->send(id, frame);
-    auto const accepted = serverEvents.waitForAccepted().first;
-    EXPECT_EQ(serverEvents.waitForFrames(accepted, sent.size()), sent);
+        m_client->send(id, frame);
+    auto const accepted = m_serverEvents.waitForAccepted().first;
+    EXPECT_EQ(m_serverEvents.waitForFrames(accepted, sent.size()), sent);
     for (auto const& frame : sent)
-        server->send(accepted, frame);
-    EXPECT_EQ(clientEvents.waitForFrames(id, sent.size()), sent);
-    EXPECT_EQ(client->totals().bytesSent, server->totals().bytesReceived);
+        m_server->send(accepted, frame);
+    EXPECT_EQ(m_clientEvents.waitForFrames(id, sent.size()), sent);
+    EXPECT_EQ(m_client->totals().bytesSent, m_server->totals().bytesReceived);
 }
 
 TEST_F(TransportTest, CarriesFramesLargerThanTheSocketsTake)
 {
-    auto const id = client->connect(serverEndpoint());
-    clientEvents.waitForConnected(id);
+    auto const id = m_client->connect(serverEndpoint());
+    m_clientEvents.waitForConnected(id);
     std::string const large(3 * 1024 * 1024, 'x');
     for (int i = 0; i < 4; ++i)
-        client->send(id, large);
-    auto const accepted = serverEvents.waitForAccepted().first;
-    EXPECT_EQ(serverEvents.waitForFrames(accepted, 4), std::vector<std::string>(4, large));
+        m_client->send(id, large);
+    auto const accepted = m_serverEvents.waitForAccepted().first;
+    EXPECT_EQ(m_serverEvents.waitForFrames(accepted, 4), std::vector<std::string>(4, large));
+    for (int i = 0; i < 4; ++i)
+        m_server->send(accepted, large);
+    EXPECT_EQ(m_clientEvents.waitForFrames(id, 4), std::vector<std::string>(4, large));
 }
 
 TEST_F(TransportTest, KeepsFramesOfManyThreadsWhole)
 {
-    auto const id = client->connect(serverEndpoint());
+    auto const id = m_client->connect(serverEndpoint());
     std::vector<std::thread> threads;
     for (char letter = 'a'; letter < 'e'; ++letter) {
         threads.emplace_back([&, letter] {
             for (int i = 0; i < 500; ++i)
-                client->send(id, std::string(1000, letter));
+                m_client->send(id, std::string(1000, letter));
         });
     }
     for (auto& thread : threads)
         thread.join();
-    auto const accepted = serverEvents.waitForAccepted().first;
-    for (auto const& frame : serverEvents.waitForFrames(accepted, 2000))
+    auto const accepted = m_serverEvents.waitForAccepted().first;
+    for (auto const& frame : m_serverEvents.waitForFrames(accepted, 2000))
         ASSERT_EQ(frame, std::string(1000, frame.front()));
 }
 
@@ -115,108 +118,108 @@
     auto const other = create(events, { .listenOn = { "127.0.0.9", 0 } });
     ASSERT_TRUE(other);
     other->connect(serverEndpoint());
-    EXPECT_EQ(serverEvents.waitForAccepted().second.address, "127.0.0.9");
+    EXPECT_EQ(m_serverEvents.waitForAccepted().second.address, "127.0.0.9");
     other->stop();
 }
 
 TEST_F(TransportTest, TellsWhenNobodyListens)
 {
-    auto const port = server->port();
-    server->stop();
-    server.reset();
-    server = create(serverEvents);
-    auto const id = client->connect({ "127.0.0.8", port });
-    EXPECT_EQ(clientEvents.waitForClosed(id).kind, error_kind::Unavailable);
+    auto const port = m_server->port();
+    m_server->stop();
+    m_server.reset();
+    m_server = create(m_serverEvents);
+    auto const id = m_client->connect({ "127.0.0.8", port });
+    EXPECT_EQ(m_clientEvents.waitForClosed(id).kind, error_kind::Unavailable);
 }
 
 TEST_F(TransportTest, TellsBothSidesOfAClose)
 {
-    auto const id = client->connect(serverEndpoint());
-    clientEvents.waitForConnected(id);
-    auto const accepted = serverEvents.waitForAccepted().first;
-    client->close(id);
-    EXPECT_EQ(clientEvents.waitForClosed(id).kind, error_kind::Unavailable);
-    EXPECT_EQ(serverEvents.waitForClosed(accepted).kind, error_kind::Unavailable);
-    server->send(accepted, "into nothing");
-    EXPECT_EQ(server->totals().connectionsOpen, 0U);
+    auto const id = m_client->connect(serverEndpoint());
+    m_clientEvents.waitForConnected(id);
+    auto const accepted = m_serverEvents.waitForAccepted().first;
+    m_client->close(id);
+    EXPECT_EQ(m_clientEvents.waitForClosed(id).kind, error_kind::Unavailable);
+    EXPECT_EQ(m_serverEvents.waitForClosed(accepted).kind, error_kind::Unavailable);
+    m_server->send(accepted, "into nothing");
+    EXPECT_EQ(m_server->totals().connectionsOpen, 0U);
 }
 
 // The fence rests on this: what lies unread in the buffers of a closed connection is never delivered.
 TEST_F(TransportTest, DeliversNoFrameAfterClose)
 {
-    serverEvents.setOnFrame([this](connection_id id) { server->close(id); });
-    auto const id = client->connect(serverEndpoint());
+    m_serverEvents.setOnFrame([this](connection_id id) { m_server->close(id); });
+    auto const id = m_client->connect(serverEndpoint());
     for (int i = 0; i < 100; ++i)
-        client->send(id, "frame");
-    auto const accepted = serverEvents.waitForAccepted().first;
-    serverEvents.waitForClosed(accepted);
-    EXPECT_EQ(serverEvents.frameCount(accepted), 1U);
+        m_client->send(id, "frame");
+    auto const accepted = m_serverEvents.waitForAccepted().first;
+    m_serverEvents.waitForClosed(accepted);
+    EXPECT_EQ(m_serverEvents.frameCount(accepted), 1U);
 }
 
 TEST_F(SmallTransportTest, ClosesAConnectionThatAnnouncesTooLargeAFrame)
 {
-    auto const socket = connectPlainly(server->port());
+    auto const socket = connectPlainly(m_server->port());
     std::string const bytes = framePrefix(2) + "ok" + framePrefix(101);
     ASSERT_EQ(::send(socket.number(), bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
-    auto const accepted = serverEvents.waitForAccepted().first;
-    EXPECT_EQ(serverEvents.waitForClosed(accepted).kind, error_kind::Corrupt);
-    EXPECT_EQ(serverEvents.frameCount(accepted), 1U);
+    auto const accepted = m_serverEvents.waitForAccepted().first;
+    EXPECT_EQ(m_serverEvents.waitForClosed(accepted).kind, error_kind::Corrupt);
+    EXPECT_EQ(m_serverEvents.frameCount(accepted), 1U);
 }
 
 TEST_F(SmallTransportTest, RefusesToSendTooLargeAFrame)
 {
-    client->connect(serverEndpoint());
-    auto const accepted = serverEvents.waitForAccepted().first;
-    server->send(accepted, std::string(101, 'x'));
-    EXPECT_EQ(serverEvents.waitForClosed(accepted).kind, error_kind::BadInput);
+    m_client->connect(serverEndpoint());
+    auto const accepted = m_serverEvents.waitForAccepted().first;
+    m_server->send(accepted, std::string(101, 'x'));
+    EXPECT_EQ(m_serverEvents.waitForClosed(accepted).kind, error_kind::BadInput);
 }
 
 TEST_F(SmallTransportTest, ClosesAConnectionWhoseOtherSideDoesNotRead)
 {
-    auto const socket = connectPlainly(server->port());
-    auto const accepted = serverEvents.waitForAccepted().first;
+    auto const socket = connectPlainly(m_server->port());
+    auto const accepted = m_serverEvents.waitForAccepted().first;
     std::atomic<bool> isClosed = false;
     std::thread waiter([&] {
-        EXPECT_EQ(serverEvents.waitForClosed(accepted).kind, error_kind::Unavailable);
+        EXPECT_EQ(m_serverEvents.waitForClosed(accepted).kind, error_kind::Unavailable);
         isClosed = true;
     });
     while (!isClosed)
-        server->send(accepted, std::string(100, 'x'));
+        m_server->send(accepted, std::string(100, 'x'));
     waiter.join();
 }
 
 TEST_F(SmallTransportTest, RefusesConnectionsAboveItsLimit)
 {
-    auto const first = client->connect(serverEndpoint());
-    auto const second = client->connect(serverEndpoint());
-    serverEvents.waitForAccepted(1);
-    auto const third = client->connect(serverEndpoint());
-    clientEvents.waitForClosed(third);
-    EXPECT_EQ(server->totals().connectionsAccepted, 2U);
-    client->close(first);
-    serverEvents.waitForClosed(serverEvents.waitForAccepted(0).first);
-    client->connect(serverEndpoint());
-    serverEvents.waitForAccepted(2);
-    client->close(second);
+    auto const first = m_client->connect(serverEndpoint());
+    auto const second = m_client->connect(serverEndpoint());
+    m_serverEvents.waitForAccepted(1);
+    auto const third = m_client->connect(serverEndpoint());
+    m_clientEvents.waitForClosed(third);
+    EXPECT_EQ(m_server->totals().connectionsAccepted, 2U);
+    m_client->close(first);
+    m_serverEvents.waitForClosed(m_serverEvents.waitForAccepted(0).first);
+    m_client->connect(serverEndpoint());
+    m_serverEvents.waitForAccepted(2);
+    m_client->close(second);
 }
 
 TEST_F(TransportTest, RefusesAnAddressInUse)
 {
-    auto const another = transport::tryCreate({ .listenOn = serverEndpoint() }, serverEvents);
+    auto const another = transport::tryCreate({ .listenOn = serverEndpoint() }, m_serverEvents);
     ASSERT_TRUE(another.isError());
     EXPECT_EQ(another.failure().kind, error_kind::Unavailable);
 }
 
 TEST_F(TransportTest, DoesNothingAfterStop)
 {
-    auto const id = client->connect(serverEndpoint());
-    clientEvents.waitForConnected(id);
-    client->stop();
-    client->send(id, "late");
-    client->close(id);
-    client->connect(serverEndpoint());
-    serverEvents.waitForClosed(serverEvents.waitForAccepted().first);
-    EXPECT_EQ(client->totals().connectionsOpen, 0U);
+    auto const id = m_client->connect(serverEndpoint());
+    m_clientEvents.waitForConnected(id);
+    m_client->stop();
+    m_client->send(id, "late");
+    m_client->close(id);
+    m_client->connect(serverEndpoint());
+    m_serverEvents.waitForClosed(m_serverEvents.waitForAccepted().first);
+    EXPECT_EQ(m_client->totals().connectionsOpen, 0U);
 }
 
 TEST(FrameReader, CutsFramesHoweverTheBytesArrive)
