Tests: Name the message suite as the linter wants it

Cause: clang-tidy took the suite MessageKind for a class of the product and wanted it in snake case. Change: it is called MessageKindTest, as the linter's exception for tests has it.

--- a/Tests/LibWire/message_test.cpp
+++ b/Tests/LibWire/message_test.cpp
@@ -24,9 +24,9 @@
 
 } // namespace
 
-class MessageKind : public testing::TestWithParam<std::size_t> { };
+class MessageKindTest : public testing::TestWithParam<std::size_t> { };
 
-TEST_P(MessageKind, SurvivesTheWire)
+TEST_P(MessageKindTest, SurvivesTheWire)
 {
     EXPECT_TRUE(rc::check([kind = GetParam()] {
         message const sent = drawMessage(kind);
@@ -37,7 +37,7 @@
     }));
 }
 
-TEST_P(MessageKind, IsRefusedWhenCutShortOrFollowedByMore)
+TEST_P(MessageKindTest, IsRefusedWhenCutShortOrFollowedByMore)
 {
     EXPECT_TRUE(rc::check([kind = GetParam()] {
         std::string const bytes = encodeMessage(drawMessage(kind));
@@ -46,7 +46,7 @@
     }));
 }
 
-TEST_P(MessageKind, IsReadOrRefusedWhenMutated)
+TEST_P(MessageKindTest, IsReadOrRefusedWhenMutated)
 {
     EXPECT_TRUE(rc::check([kind = GetParam()] {
         std::string bytes = encodeMessage(drawMessage(kind));
@@ -59,7 +59,7 @@
     }));
 }
 
-INSTANTIATE_TEST_SUITE_P(EachKind, MessageKind, testing::Range<std::size_t>(0, std::variant_size_v<message>));
+INSTANTIATE_TEST_SUITE_P(EachKind, MessageKindTest, testing::Range<std::size_t>(0, std::variant_size_v<message>));
 
 RC_GTEST_PROP(Message, IsReadOrRefusedWhenRandom, ())
 {
