--- a/Tests/LibMembership/member_test.cpp
+++ b/Tests/LibMembership/member_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -48,7 +49,8 @@
     EXPECT_TRUE(fleet.haveConverged());
     EXPECT_EQ(fleet.at("a-0").table().records().size(), 12u);
     EXPECT_EQ(countRelays(fleet), 6u);
-    EXPECT_EQ(fleet.at("a-0").remoteRelays().size(), 2u);
+    for (auto const& [vm, member] : fleet.members())
+        EXPECT_EQ(member->remoteRelays().size(), member->isChosenRelay() ? 2u : 0u) << vm;
 }
 
 TEST(Member, RelaysForItselfWhenAlone)
@@ -100,6 +102,55 @@
         RC_ASSERT(record.state == member_state::Alive);
 }
 
+TEST(SilenceDetector, BlamesNobodyForTheTimeThatItWasPausedItself)
+{
+    membership_table table;
+    for (int i = 0; i < 4; ++i) {
+        member_record record;
+        record.vm = "vm" + std::to_string(i);
+        record.zone = "a";
+        record.incarnation = 1;
+        table.merge(record);
+    }
+    silence_detector detector(seconds(3), 0.5);
+    time_point now { seconds(100) };
+    detector.observe(table, "a", "vm0", now);
+    now += seconds(60);
+    detector.observe(table, "a", "vm0", now);
+    EXPECT_TRUE(detector.suspects(now).empty());
+    for (int second = 0; second < 7; ++second) {
+        now += seconds(1);
+        detector.observe(table, "a", "vm0", now);
+        detector.didHear("vm1", now);
+        detector.didHear("vm2", now);
+    }
+    EXPECT_EQ(detector.suspects(now), std::vector<std::string> { "vm3" });
+    EXPECT_EQ(detector.gone(table, now), std::vector<std::string> { "vm3" });
+}
+
+TEST(Member, KeepsItsRelaysAfterAPauseOfItsOwn)
+{
+    fleet fleet(11);
+    startZones(fleet, 4);
+    fleet.run(settleTime);
+    auto const vm = rankRelays(fleet.at("a-0").table(), "a")[3];
+    // Whatever it had sent when it was paused is unanswered.
+    fleet.isCut = [&](auto& from, auto& to) {
+        return from == vm || to == vm;
+    };
+    fleet.run(milliseconds(1200));
+    auto const relays = fleet.at(vm).relays();
+    fleet.pause(vm);
+    fleet.run(seconds(4));
+    fleet.isCut = [](auto&, auto&) {
+        return false;
+    };
+    fleet.resume(vm);
+    fleet.run(milliseconds(20));
+    EXPECT_EQ(fleet.at(vm).relays(), relays);
+    EXPECT_FALSE(fleet.at(vm).isRelay());
+}
+
 TEST(Member, IsGoneAfterSilenceAndRefutesWhenItResumes)
 {
     fleet fleet(3);
@@ -109,7 +160,7 @@
     fleet.run(seconds(9));
     EXPECT_EQ(stateSeen(fleet, "c-1", "a-2"), member_state::Gone);
     fleet.resume("a-2");
-    fleet.run(seconds(5));
+    fleet.run(milliseconds(800));
     for (auto const& [vm, member] : fleet.members())
         EXPECT_EQ(member->table().find("a-2")->state, member_state::Alive) << vm;
     EXPECT_EQ(fleet.at("a-2").self().incarnation, 2u);
@@ -129,7 +180,9 @@
     for (auto const& [vm, member] : fleet.members()) {
         if (!isInZone(vm, 'a'))
             continue;
-        EXPECT_EQ(member->relays().size() + (member->isRelay() ? 1u : 0u), 2u) << vm;
+        auto const relays = member->relays();
+        EXPECT_EQ(relays.size() + (member->isRelay() ? 1u : 0u), 2u) << vm;
+        EXPECT_EQ(std::count(relays.begin(), relays.end(), relay), 0) << vm;
     }
     fleet.run(seconds(6));
     EXPECT_EQ(stateSeen(fleet, "b-0", relay), member_state::Gone);
@@ -220,8 +273,34 @@
         fleet.run(seconds(3));
         EXPECT_EQ(fleet.at("a-1").appliedBefore(), 7u);
     }
-    EXPECT_EQ(fleet.at("a-1").self().incarnation, 3u);
     EXPECT_TRUE(fleet.haveConverged());
+    EXPECT_EQ(fleet.at("b-1").table().find("a-1")->instance, fleet.at("a-1").self().instance);
+}
+
+TEST(Member, TakesAnIncarnationAboveWhateverItHearsOfItself)
+{
+    membership_settings settings;
+    settings.vm = "a-0";
+    settings.address = "a-0";
+    member restarted(settings, 5);
+    generator source(1);
+    time_point const now { seconds(1) };
+    auto heard = restarted.self();
+    restarted.didReceive("b-0", membership_update { { heard } }, now, source);
+    EXPECT_EQ(restarted.self().incarnation, 1u) << "nothing but itself";
+    heard.instance = 7;
+    heard.incarnation = 4;
+    heard.appliedVersion = 9;
+    restarted.didReceive("b-0", membership_update { { heard } }, now, source);
+    EXPECT_EQ(restarted.self().incarnation, 5u);
+    EXPECT_EQ(restarted.appliedBefore(), 9u);
+    restarted.didReceive("b-0", membership_update { { heard } }, now, source);
+    EXPECT_EQ(restarted.self().incarnation, 5u) << "old news";
+    heard = restarted.self();
+    heard.state = member_state::Gone;
+    restarted.didReceive("b-0", membership_update { { heard } }, now, source);
+    EXPECT_EQ(restarted.self().incarnation, 6u);
+    EXPECT_EQ(restarted.self().state, member_state::Alive);
 }
 
 TEST(Member, RelaysForWhoeverSubscribesUpToItsLimit)
