Services: Enforce the callers that a service's answers allow

Cause: a newcomer's read of the questionnaire showed that allowed_callers was checked for existence only. Ruled out: the target's daemon as the place, which would cost a hop to learn it. Change: the first daemon answers 403, not run, with the remedy; submissions end at their timeout even if the store never answers, and read nothing again that is in force; the operators' API uses the one set of JSON writers. Seen failing: with the check mutated to true, BadInput.EndsNoProcessAndChangesNothing got 503 for 403. After: it passes, 50 random byte streams included.

--- a/Services/Daemon/caller_api.cpp
+++ b/Services/Daemon/caller_api.cpp
@@ -75,6 +75,20 @@
     return call;
 }
 
+// Whether the answers of the service let this caller call it. A service that is not known here refuses by itself.
+bool isAllowed(daemon& owner, caller_request const& call)
+{
+    auto const applied = owner.configuration().applied();
+    auto const* service = applied->service(call.service);
+    if (!service)
+        return true;
+    auto const& allowed = service->answers.allowedCallers;
+    auto const names = [&](std::string const& name) {
+        return std::find(allowed.begin(), allowed.end(), name) != allowed.end();
+    };
+    return names("*") || (!call.caller.empty() && names(call.caller));
+}
+
 } // namespace
 
 caller_api::caller_api(daemon& owner)
@@ -97,6 +111,13 @@
         return;
     }
     auto call = read.releaseValue();
+    if (!isAllowed(m_daemon, call)) {
+        responder->respond(callerRefusal(403, "caller_not_allowed",
+            "the answers of " + call.service + " do not let " + (call.caller.empty() ? "outsiders" : call.caller)
+                + " call it",
+            "have its owner add the caller to allowed_callers, or set Merlinpier-Caller to the calling service"));
+        return;
+    }
     if (call.idempotencyKey.empty())
         call.id = absl::StrFormat("%016x-%x", m_daemon.instance(), m_nextCall++);
     else
--- a/Services/Daemon/commit_runner.cpp
+++ b/Services/Daemon/commit_runner.cpp
@@ -2,12 +2,15 @@
 
 namespace merlinpier {
 
-void commit_runner::run(object_store& store, timer_service& timers, submission wanted, duration timeout,
-    std::uint64_t seed, commit_callback callback)
+void commit_runner::run(object_store& store, timer_service& timers, submission wanted,
+    std::shared_ptr<configuration_set const> known, duration timeout, std::uint64_t seed, commit_callback callback)
 {
     auto const now = currentTime();
+    commit_session session(std::move(wanted), now + timeout, std::move(known));
     std::shared_ptr<commit_runner> const runner(
-        new commit_runner(store, timers, std::move(wanted), now + timeout, seed, std::move(callback)));
+        new commit_runner(store, timers, std::move(session), seed, std::move(callback)));
+    // A store that never answers must not keep the operator waiting.
+    timers.subscribeOnce(timeout, [runner] { runner->tick(); });
     std::vector<commit_action> actions;
     {
         mutex_lock lock(runner->m_mutex);
@@ -16,12 +19,12 @@
     runner->carryOut(std::move(actions));
 }
 
-commit_runner::commit_runner(object_store& store, timer_service& timers, submission wanted, time_point deadline,
-    std::uint64_t seed, commit_callback callback)
+commit_runner::commit_runner(
+    object_store& store, timer_service& timers, commit_session session, std::uint64_t seed, commit_callback callback)
     : m_store(store)
     , m_timers(timers)
     , m_callback(std::move(callback))
-    , m_session(std::move(wanted), deadline)
+    , m_session(std::move(session))
     , m_generator(seed)
 {
 }
@@ -50,14 +53,7 @@
                     self->carryOut(std::move(next));
                 });
         } else if (auto const* wait = std::get_if<wait_before_retry>(&action)) {
-            m_timers.subscribeOnce(wait->delay, [self] {
-                std::vector<commit_action> next;
-                {
-                    mutex_lock lock(self->m_mutex);
-                    next = self->m_session.tick(currentTime(), self->m_generator);
-                }
-                self->carryOut(std::move(next));
-            });
+            m_timers.subscribeOnce(wait->delay, [self] { self->tick(); });
         } else if (auto const* accepted = std::get_if<commit_accepted>(&action)) {
             finish(accepted->accepted);
         } else if (auto const* failed = std::get_if<commit_failed>(&action)) {
@@ -66,6 +62,16 @@
     }
 }
 
+void commit_runner::tick()
+{
+    std::vector<commit_action> next;
+    {
+        mutex_lock lock(m_mutex);
+        next = m_session.tick(currentTime(), m_generator);
+    }
+    carryOut(std::move(next));
+}
+
 void commit_runner::finish(result<accepted_submission> outcome)
 {
     {
--- a/Services/Daemon/commit_runner.h
+++ b/Services/Daemon/commit_runner.h
@@ -16,10 +16,14 @@
 // until the outcome is known.
 class commit_runner : public std::enable_shared_from_this<commit_runner> {
 public:
-    static void run(object_store&, timer_service&, submission, duration timeout, std::uint64_t seed, commit_callback);
+    // Fragments of the known set are not read from the platform again. The outcome is known at the timeout at the
+    // latest.
+    static void run(object_store&, timer_service&, submission, std::shared_ptr<configuration_set const> known,
+        duration timeout, std::uint64_t seed, commit_callback);
 
 private:
-    commit_runner(object_store&, timer_service&, submission, time_point deadline, std::uint64_t seed, commit_callback);
+    commit_runner(object_store&, timer_service&, commit_session, std::uint64_t seed, commit_callback);
+    void tick();
     void carryOut(std::vector<commit_action>);
     void finish(result<accepted_submission>);
 
--- a/Services/Daemon/operator_api.cpp
+++ b/Services/Daemon/operator_api.cpp
@@ -6,7 +6,6 @@
 
 #include <LibConfiguration/submission_json.h>
 #include <LibCore/log.h>
-#include <nlohmann/json.hpp>
 #include <random>
 
 namespace merlinpier {
@@ -16,44 +15,11 @@
 constexpr std::string_view servicesPath = "/config/services";
 constexpr milliseconds dumpTimeout { 3000 };
 
-int statusFor(error_kind kind)
-{
-    switch (kind) {
-    case error_kind::BadInput:
-    case error_kind::BadSettings:
-    case error_kind::Corrupt:
-        return 400;
-    case error_kind::NotFound:
-        return 404;
-    case error_kind::Conflict:
-        return 409;
-    case error_kind::RateLimited:
-        return 429;
-    case error_kind::Unavailable:
-    case error_kind::Refused:
-    case error_kind::DeadlineExceeded:
-        return 503;
-    case error_kind::OutcomeUnknown:
-        return 504;
-    case error_kind::Internal:
-        return 500;
-    }
-    return 500;
-}
-
-nlohmann::json toJson(accepted_submission const& accepted)
-{
-    return { { "id", accepted.id }, { "version", accepted.version }, { "service", accepted.service },
-        { "revision", accepted.revision }, { "owner", accepted.owner } };
-}
-
 } // namespace
 
 http_response errorResponse(error const& failure)
 {
-    nlohmann::json const body { { "kind", errorKindName(failure.kind) }, { "message", failure.message },
-        { "remedy", failure.remedy } };
-    return jsonResponse(statusFor(failure.kind), body.dump());
+    return jsonResponse(httpStatus(failure.kind), serializeError(failure));
 }
 
 operator_api::operator_api(daemon& owner)
@@ -100,7 +66,7 @@
     }
     auto const id = wanted.value().id;
     std::random_device source;
-    commit_runner::run(m_daemon.store(), m_daemon.timers(), wanted.releaseValue(),
+    commit_runner::run(m_daemon.store(), m_daemon.timers(), wanted.releaseValue(), m_daemon.configuration().applied(),
         m_daemon.settings().submissionTimeout, source(), [responder, id](result<accepted_submission> outcome) {
             if (outcome.isError()) {
                 logWarning("submission_failed", { { "submission", id }, { "reason", outcome.failure().text() } });
@@ -108,7 +74,7 @@
                 return;
             }
             logInfo("submission_accepted", { { "submission", id }, { "version", outcome.value().version } });
-            responder->respond(jsonResponse(200, toJson(outcome.value()).dump()));
+            responder->respond(jsonResponse(200, serializeAccepted(outcome.value())));
         });
 }
 
@@ -128,11 +94,7 @@
             }
             head = parsed.releaseValue();
         }
-        nlohmann::json recent = nlohmann::json::array();
-        for (auto const& accepted : head.recent)
-            recent.push_back(toJson(accepted));
-        responder->respond(
-            jsonResponse(200, nlohmann::json { { "version", head.version }, { "recent", recent } }.dump()));
+        responder->respond(jsonResponse(200, serializeHistory(head)));
     });
 }
 
@@ -175,11 +137,7 @@
 http_response operator_api::services() const
 {
     auto const applied = m_daemon.configuration().applied();
-    nlohmann::json list = nlohmann::json::array();
-    for (auto const& entry : applied->contents().entries)
-        list.push_back({ { "service", entry.service }, { "revision", entry.revision }, { "digest", entry.digest },
-            { "owner", applied->service(entry.service)->answers.owner } });
-    return jsonResponse(200, nlohmann::json { { "version", applied->version() }, { "services", list } }.dump());
+    return jsonResponse(200, serializeServices(*applied));
 }
 
 http_response operator_api::service(std::string const& name) const
@@ -190,10 +148,7 @@
         return errorResponse(
             { error_kind::NotFound, "no service " + name + " in version " + std::to_string(applied->version()),
                 "see merlinpier show for the services" });
-    nlohmann::json const body { { "service", name }, { "revision", found->revision },
-        { "answers", nlohmann::json::parse(canonicalJson(found->answers)) },
-        { "generated", nlohmann::json::parse(serializeService(*found)) } };
-    return jsonResponse(200, body.dump());
+    return jsonResponse(200, serializeServiceDetail(*found));
 }
 
 } // namespace merlinpier
--- a/Services/Daemon/peer_hub.cpp
+++ b/Services/Daemon/peer_hub.cpp
@@ -244,7 +244,8 @@
             mutex_lock lock(m_mutex);
             auto& links = table(known.purpose);
             if (auto const* answer = std::get_if<hello_answer>(&content)) {
-                m_connections[id].instance = answer->instance;
+                if (auto const found = m_connections.find(id); found != m_connections.end())
+                    found->second.instance = answer->instance;
                 carryOut(known.purpose, links.didReceiveHelloAnswer(id, *answer, now), events);
             } else {
                 links.didReceive(id, now);
