LibMembership: Hand each version to a member by one of its relays only

Cause: members of small zones subscribe to two relays and both pushed every version. Ruled out: an announcement from the second relay, because heartbeat answers carry the highest version anyway. Change: relays share subscribers by rendezvous hash. Seen failing: with receivers equal to subscribers the new test counts two hands for each member.

--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -376,6 +376,29 @@
 
 std::vector<std::string> member::subscribers() const { return m_peers.subscribers(); }
 
+std::vector<std::string> member::versionReceivers() const
+{
+    auto receivers = subscribers();
+    if (!placeAmongRelays())
+        return receivers;
+    auto const relays = reachable(m_settings.zone);
+    // Rendezvous hashing (Thaler and Ravishankar, 1998): relays with the same view share the subscribers without a
+    // word. Where views differ for a moment, a member gets a version twice, or by its next heartbeat.
+    std::erase_if(receivers, [&](std::string const& receiver) {
+        std::string best;
+        std::uint64_t bestScore = 0;
+        for (auto const& relay : relays) {
+            auto const score = hash64(relay.address, hash64(receiver));
+            if (relay.address != receiver && (best.empty() || score > bestScore)) {
+                best = relay.address;
+                bestScore = score;
+            }
+        }
+        return best != m_settings.address;
+    });
+    return receivers;
+}
+
 std::vector<std::string> member::remoteRelays() const
 {
     // The first relay of a zone talks to the first of each other zone, the second to the second: a record reaches a
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -75,6 +75,9 @@
     std::vector<std::string> relays() const;
     // Addresses that subscribe to this daemon as their relay.
     std::vector<std::string> subscribers() const;
+    // The subscribers that this daemon hands new configuration versions to, so that a member of two relays is not sent
+    // each version twice. All subscribers of a daemon that its own view does not count among the zone's relays.
+    std::vector<std::string> versionReceivers() const;
     // Addresses of one relay of each other zone; empty unless this is a chosen relay.
     std::vector<std::string> remoteRelays() const;
     // Whether the own zone's relays or any other daemon has been heard of lately.
--- a/Services/Daemon/membership_part.cpp
+++ b/Services/Daemon/membership_part.cpp
@@ -102,7 +102,7 @@
 distribution_peers membership_part::peers() const
 {
     mutex_lock lock(m_mutex);
-    return { m_member.isChosenRelay(), m_member.relays(), m_member.subscribers(), m_member.remoteRelays() };
+    return { m_member.isChosenRelay(), m_member.relays(), m_member.versionReceivers(), m_member.remoteRelays() };
 }
 
 std::uint64_t membership_part::highestClaim(std::string const& licence) const
--- a/Tests/LibMembership/member_test.cpp
+++ b/Tests/LibMembership/member_test.cpp
@@ -53,6 +53,33 @@
         EXPECT_EQ(member->remoteRelays().size(), member->isChosenRelay() ? 2u : 0u) << vm;
 }
 
+TEST(Member, IsHandedEachVersionByOneOfItsRelays)
+{
+    fleet fleet(1);
+    startZones(fleet, 4);
+    fleet.run(settleTime);
+    std::map<std::string, int> handedBy;
+    for (auto const& [vm, member] : fleet.members()) {
+        for (auto const& receiver : member->versionReceivers())
+            ++handedBy[receiver];
+    }
+    for (auto const& [vm, member] : fleet.members())
+        EXPECT_EQ(handedBy[vm], 1) << vm;
+    // When a relay is gone, another one takes its receivers over.
+    auto const relay = std::find_if(fleet.members().begin(), fleet.members().end(),
+        [](auto const& entry) { return entry.second->isChosenRelay(); });
+    auto const gone = relay->first;
+    fleet.stop(gone);
+    fleet.run(settleTime);
+    handedBy.clear();
+    for (auto const& [vm, member] : fleet.members()) {
+        for (auto const& receiver : member->versionReceivers())
+            ++handedBy[receiver];
+    }
+    for (auto const& [vm, member] : fleet.members())
+        EXPECT_EQ(handedBy[vm], 1) << vm;
+}
+
 TEST(Member, RelaysForItselfWhenAlone)
 {
     fleet fleet(1);
