LibConfiguration, LibCalls: Split the two files that had grown large

Ruled out: a second state machine, which would need the first one's state. Change: submission rules, the state's declaration and the reading half stand in files of their own, as do the frames that call_client handles; no logic changed.

--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -12,13 +12,13 @@
 constexpr std::uint32_t retryAfterNoTargetMs = 1000;
 constexpr std::uint32_t shortestRetryAfterMs = 1;
 
-call_not_run notRun(refusal_reason reason, std::uint32_t retryAfterMs)
+} // namespace
+
+call_not_run call_client::notRun(refusal_reason reason, std::uint32_t retryAfterMs)
 {
     return { reason, std::max(retryAfterMs, shortestRetryAfterMs), refusalText(reason) };
 }
 
-} // namespace
-
 call_client::call_client(call_client_settings settings, chooser_settings chooser)
     : m_settings(settings)
     , m_chooser(std::move(chooser))
@@ -354,82 +354,6 @@
     endAttempt(record, { attempt_outcome::Refused, std::nullopt }, now);
 }
 
-void call_client::handle(
-    std::string const& address, call_answer const& answer, time_point now, generator&, actions& out)
-{
-    m_acknowledgements.add(address, answer.id);
-    auto* record = findByAttempt(answer.id);
-    if (!record || record->attempt->target.address != address)
-        return;
-    call_answered outcome { answer, record->attempt->target.id, record->attempts };
-    outcome.answer.id = record->request.id;
-    endAttempt(*record, { attempt_outcome::Answered, answer.loadPermille }, now);
-    complete(*record, std::move(outcome), out);
-}
-
-void call_client::handle(
-    std::string const& address, call_refused const& refusal, time_point now, generator& random, actions& out)
-{
-    auto* record = findByAttempt(refusal.id);
-    if (!record || record->attempt->target.address != address)
-        return;
-    // A target that its own daemon cannot reach counts as failed, or it would look idle and draw every call.
-    bool const isTargetDown = refusal.reason == refusal_reason::TargetUnreachable;
-    auto const outcome = isTargetDown ? attempt_outcome::Unreachable : attempt_outcome::Refused;
-    retryNotRun(
-        *record, { outcome, refusal.loadPermille }, notRun(refusal.reason, refusal.retryAfterMs), now, random, out);
-}
-
-void call_client::handle(
-    std::string const& address, call_lost const& lost, time_point now, generator& random, actions& out)
-{
-    m_acknowledgements.add(address, lost.id);
-    auto* record = findByAttempt(lost.id);
-    if (!record || record->attempt->target.address != address)
-        return;
-    retryLost(*record, "the target was lost while the call ran", now, random, out);
-}
-
-void call_client::handle(
-    std::string const& address, call_query_answer const& answer, time_point now, generator& random, actions& out)
-{
-    for (auto const& status : answer.statuses) {
-        auto* record = findByAttempt(status.id);
-        if (!record || record->attempt->target.address != address || record->attempt->state != attempt_state::Asking)
-            continue;
-        bool const isOtherLedger = record->attempt->target.instance != answer.instance;
-        if (isOtherLedger)
-            retryLost(*record, "the target's daemon was restarted while the call was with it", now, random, out);
-        else
-            handleStatus(address, status, now, random, out);
-    }
-}
-
-void call_client::handleStatus(
-    std::string const& address, call_status const& status, time_point now, generator& random, actions& out)
-{
-    auto& record = *findByAttempt(status.id);
-    switch (status.outcome) {
-    case call_outcome::Finished:
-        if (status.answer && status.answer->id == status.id)
-            handle(address, *status.answer, now, random, out);
-        else
-            retryLost(record, "the answer is no longer kept", now, random, out);
-        return;
-    case call_outcome::Running:
-        record.attempt->state = attempt_state::Sent;
-        return;
-    case call_outcome::Refused:
-    case call_outcome::Unknown:
-        handleNeverAdmitted(record, now, random, out);
-        return;
-    case call_outcome::CannotTell:
-    case call_outcome::OutcomeUnknown:
-        retryLost(record, "the target was lost while the call ran", now, random, out);
-        return;
-    }
-}
-
 void call_client::handleNeverAdmitted(call_record& record, time_point now, generator& random, actions& out)
 {
     if (now - record.attempt->sentAt >= m_settings.ledgerMemory) {
--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -132,6 +132,8 @@
         std::optional<std::uint32_t> loadPermille;
     };
 
+    // A refusal as a final answer, with its text and a time to come back that is never 0.
+    static call_not_run notRun(refusal_reason, std::uint32_t retryAfterMs);
     call_record* findByAttempt(std::string const& attempt);
     bool joinInProgress(caller_request const&);
     std::optional<route_target> chooseTarget(call_record const&, time_point now, generator&) const;
--- a/Libraries/LibConfiguration/commit_session.cpp
+++ b/Libraries/LibConfiguration/commit_session.cpp
@@ -1,31 +1,14 @@
 #include <LibConfiguration/commit_session.h>
 
-#include <LibConfiguration/questionnaire_rules.h>
-#include <LibConfiguration/retry_back_off.h>
+#include <LibConfiguration/commit_session_state.h>
+#include <LibConfiguration/submission_rules.h>
 #include <LibCore/digest.h>
-
 #include <algorithm>
-#include <map>
-#include <set>
 
 namespace merlinpier {
 
 namespace {
 
-constexpr milliseconds firstBackOffBound { 50 };
-constexpr milliseconds longestBackOffBound { 2000 };
-constexpr std::size_t maximumIdBytes = 64;
-
-using actions = std::vector<commit_action>;
-
-enum class commit_phase { ReadingHead, ReadingManifest, ReadingFragments, WritingObjects, WritingHead, Finished };
-
-// An update of the head whose answer was lost.
-struct unresolved_update {
-    std::uint64_t expectedRevision { 0 };
-    version_number version { 0 };
-};
-
 bool isWorthRepeating(error_kind kind)
 {
     return kind == error_kind::Unavailable || kind == error_kind::RateLimited || kind == error_kind::DeadlineExceeded
@@ -38,112 +21,8 @@
     return kind != error_kind::OutcomeUnknown && kind != error_kind::Corrupt && kind != error_kind::Internal;
 }
 
-std::string revisionText(std::uint64_t revision)
-{
-    return revision == 0 ? "absent" : "at revision " + std::to_string(revision);
-}
-
-error conflictError(std::string const& service, std::uint64_t base, std::uint64_t current)
-{
-    return { error_kind::Conflict,
-        "service \"" + service + "\" is now " + revisionText(current) + "; the submission was made while it was "
-            + revisionText(base),
-        "look at the current answers (merlinpier show " + service + "), merge your change into them and submit against "
-            + (current == 0 ? "base revision 0" : "base revision " + std::to_string(current)) };
-}
-
-result<empty> checkSubmission(submission const& request)
-{
-    auto const isAllowed = [](char letter) {
-        return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9')
-            || letter == '-';
-    };
-    if (request.id.empty() || request.id.size() > maximumIdBytes
-        || !std::all_of(request.id.begin(), request.id.end(), isAllowed)) {
-        return error { error_kind::BadInput, "\"id\" must be 1 to 64 letters, digits and hyphens",
-            "draw a random identifier for each submission" };
-    }
-    if (!isServiceName(request.service)) {
-        return error { error_kind::BadInput, "\"service\" holds \"" + request.service + "\", which is no service name",
-            "use 1 to 63 lower-case letters, digits and hyphens, the first a letter" };
-    }
-    if (request.kind == submission_kind::Remove)
-        return empty {};
-    if (!request.answers || request.answers->service != request.service) {
-        return error { error_kind::BadInput, "\"answers\" must hold the answers of service \"" + request.service + "\"",
-            "give the same name in \"service\" and in the answers" };
-    }
-    return checkQuestionnaire(*request.answers);
-}
-
 } // namespace
 
-struct commit_session::state {
-    state(submission, time_point, std::shared_ptr<configuration_set const>);
-
-    actions start(time_point);
-    actions didRead(std::string const& key, result<std::optional<stored_object>> const&, time_point, generator&);
-    actions didWrite(std::string const& key, result<stored_object> const&, time_point, generator&);
-    actions tick(time_point, generator&);
-
-private:
-    actions readHead(time_point);
-    actions didReadHead(std::optional<stored_object> const&, time_point, generator&);
-    result<empty> takeHead(std::optional<stored_object> const&);
-    actions readManifest(time_point);
-    actions didReadManifest(std::optional<stored_object> const&, time_point);
-    actions readFragments(time_point);
-    actions didReadFragment(std::string const& key, std::optional<stored_object> const&, time_point, generator&);
-    actions build(time_point);
-    result<manifest_entry> replaceEntry(manifest&);
-    result<std::string> ownerOfRemoved() const;
-    actions writeObjects(time_point);
-    actions writeHead(time_point);
-    actions didWriteObject(std::string const& key, result<stored_object> const&, time_point, generator&);
-    actions didReadDoubtful(std::string const& key, bool isThere, time_point, generator&);
-    actions didSettleObject(time_point, generator&);
-    actions didWriteHead(result<stored_object> const&, time_point, generator&);
-
-    actions issue(commit_phase, std::set<std::string> const& keys, time_point);
-    commit_action callFor(std::string const& key) const;
-    actions didFailCall(std::string const& key, error const&, time_point, generator&);
-    actions waitBeforeRetry(commit_phase, time_point, generator&);
-    actions accept(accepted_submission const&);
-    actions fail(error);
-    actions failAtDeadline();
-    bool mayHaveCommitted() const;
-    std::uint64_t currentRevision() const;
-    std::vector<wire_fragment> fragmentsOf(manifest const&) const;
-
-    submission m_request;
-    time_point m_deadline;
-    std::shared_ptr<configuration_set const> m_known;
-    commit_phase m_phase { commit_phase::ReadingHead };
-    retry_back_off m_backOff { firstBackOffBound, longestBackOffBound };
-
-    // Calls under way, and calls that failed and are repeated when the wait is over.
-    std::set<std::string> m_pending;
-    std::set<std::string> m_failed;
-    std::optional<time_point> m_wakeAt;
-    std::optional<error> m_lastError;
-
-    // What the last read head says.
-    std::uint64_t m_headRevision { 0 };
-    configuration_head m_head;
-    manifest m_base;
-    std::map<std::string, std::string> m_fragments;
-
-    // The version to come.
-    std::map<std::string, std::string> m_newObjects;
-    std::set<std::string> m_writtenKeys;
-    // Objects whose write may have taken effect: they are looked for before they are sent again.
-    std::set<std::string> m_doubtfulKeys;
-    std::string m_nextHead;
-    accepted_submission m_accepted;
-    std::optional<unresolved_update> m_unresolved;
-    unsigned m_lostRaces { 0 };
-};
-
 commit_session::state::state(submission request, time_point deadline, std::shared_ptr<configuration_set const> known)
     : m_request(std::move(request))
     , m_deadline(deadline)
@@ -155,7 +34,7 @@
         m_fragments.emplace(fragment.digest, std::move(fragment.content));
 }
 
-actions commit_session::state::start(time_point now)
+std::vector<commit_action> commit_session::state::start(time_point now)
 {
     auto checked = checkSubmission(m_request);
     if (checked.isError())
@@ -163,9 +42,12 @@
     return readHead(now);
 }
 
-actions commit_session::state::readHead(time_point now) { return issue(commit_phase::ReadingHead, { headKey }, now); }
+std::vector<commit_action> commit_session::state::readHead(time_point now)
+{
+    return issue(commit_phase::ReadingHead, { headKey }, now);
+}
 
-actions commit_session::state::didRead(
+std::vector<commit_action> commit_session::state::didRead(
     std::string const& key, result<std::optional<stored_object>> const& answer, time_point now, generator& source)
 {
     bool const isReading = m_phase == commit_phase::ReadingHead || m_phase == commit_phase::ReadingManifest
@@ -185,165 +67,7 @@
     return didReadFragment(key, answer.value(), now, source);
 }
 
-actions commit_session::state::didReadHead(
-    std::optional<stored_object> const& object, time_point now, generator& source)
-{
-    auto taken = takeHead(object);
-    if (taken.isError())
-        return fail(taken.releaseFailure());
-    if (auto const* own = m_head.find(m_request.id)) {
-        m_unresolved.reset();
-        return accept(*own);
-    }
-    if (m_unresolved && m_headRevision < m_unresolved->expectedRevision)
-        return waitBeforeRetry(commit_phase::ReadingHead, now, source);
-    if (m_unresolved && m_headRevision > m_unresolved->expectedRevision) {
-        if (!m_head.remembers(m_unresolved->version)) {
-            return fail({ error_kind::OutcomeUnknown, "more submissions were accepted since than the head remembers",
-                "compare the service's answers with yours (merlinpier show " + m_request.service + ")" });
-        }
-        // Revisions are never used again, so the lost update can no longer take effect.
-        m_unresolved.reset();
-    }
-    return readManifest(now);
-}
-
-result<empty> commit_session::state::takeHead(std::optional<stored_object> const& object)
-{
-    m_head = {};
-    m_headRevision = 0;
-    if (object) {
-        auto parsed = parseHead(object->value);
-        if (parsed.isError())
-            return error { error_kind::Corrupt, parsed.failure().message, parsed.failure().remedy };
-        m_head = parsed.releaseValue();
-        m_headRevision = object->revision;
-    }
-    if (m_head.version >= m_known->version())
-        return empty {};
-    return error { error_kind::Refused,
-        "the platform is at version " + std::to_string(m_head.version) + ", but version "
-            + std::to_string(m_known->version()) + " is in force here",
-        "restore the platform's newest objects: daemons refuse versions below the one that they have applied" };
-}
-
-actions commit_session::state::readManifest(time_point now)
-{
-    if (m_head.version == 0) {
-        m_base = {};
-        return readFragments(now);
-    }
-    if (m_head.manifestDigest == m_known->digest()) {
-        m_base = m_known->contents();
-        return readFragments(now);
-    }
-    return issue(commit_phase::ReadingManifest, { manifestKey(m_head.manifestDigest) }, now);
-}
-
-actions commit_session::state::didReadManifest(std::optional<stored_object> const& object, time_point now)
-{
-    error const corrupt { error_kind::Corrupt,
-        "the manifest of version " + std::to_string(m_head.version) + " is missing or damaged in the platform",
-        "restore the object " + manifestKey(m_head.manifestDigest) };
-    if (!object || contentDigest(object->value) != m_head.manifestDigest)
-        return fail(corrupt);
-    auto parsed = parseManifest(object->value);
-    if (parsed.isError() || parsed.value().version != m_head.version)
-        return fail(corrupt);
-    m_base = parsed.releaseValue();
-    return readFragments(now);
-}
-
-actions commit_session::state::readFragments(time_point now)
-{
-    // The base that the operator did not name is what the session sees first: a change after that is a conflict.
-    if (!m_request.baseRevision)
-        m_request.baseRevision = currentRevision();
-    if (*m_request.baseRevision != currentRevision())
-        return fail(conflictError(m_request.service, *m_request.baseRevision, currentRevision()));
-    std::set<std::string> missing;
-    for (auto const& entry : m_base.entries) {
-        if (!m_fragments.contains(entry.digest))
-            missing.insert(fragmentKey(entry.digest));
-    }
-    if (missing.empty())
-        return build(now);
-    return issue(commit_phase::ReadingFragments, missing, now);
-}
-
-actions commit_session::state::didReadFragment(
-    std::string const& key, std::optional<stored_object> const& object, time_point now, generator& source)
-{
-    if (!object || key != fragmentKey(contentDigest(object->value))) {
-        return fail({ error_kind::Corrupt, "the object " + key + " is missing or damaged in the platform",
-            "restore the object, or submit the answers of its service again on a daemon that has it" });
-    }
-    m_fragments.emplace(contentDigest(object->value), object->value);
-    if (!m_pending.empty())
-        return {};
-    if (!m_failed.empty())
-        return waitBeforeRetry(m_phase, now, source);
-    return build(now);
-}
-
-std::uint64_t commit_session::state::currentRevision() const
-{
-    for (auto const& entry : m_base.entries) {
-        if (entry.service == m_request.service)
-            return entry.revision;
-    }
-    return 0;
-}
-
-std::vector<wire_fragment> commit_session::state::fragmentsOf(manifest const& contents) const
-{
-    std::vector<wire_fragment> fragments;
-    for (auto const& entry : contents.entries) {
-        auto const found = m_fragments.find(entry.digest);
-        if (found != m_fragments.end())
-            fragments.push_back({ entry.service, entry.digest, found->second });
-    }
-    return fragments;
-}
-
-// Takes the service's entry out of the manifest, puts the new one in for Submit, and returns what was accepted.
-result<manifest_entry> commit_session::state::replaceEntry(manifest& contents)
-{
-    auto const current = currentRevision();
-    manifest_entry entry { m_request.service, std::max(current, current == 0 ? contents.revisionFloor : 0) + 1, "" };
-    auto const isOwn = [&](manifest_entry const& candidate) {
-        return candidate.service == entry.service;
-    };
-    contents.entries.erase(
-        std::remove_if(contents.entries.begin(), contents.entries.end(), isOwn), contents.entries.end());
-    if (m_request.kind == submission_kind::Remove) {
-        if (current == 0) {
-            return error { error_kind::NotFound, "there is no service \"" + entry.service + "\" to remove",
-                "list the services with merlinpier show" };
-        }
-        contents.revisionFloor = std::max(contents.revisionFloor, entry.revision);
-        return entry;
-    }
-    auto content = serializeService(generateService(*m_request.answers, entry.revision));
-    entry.digest = contentDigest(content);
-    m_newObjects.emplace(fragmentKey(entry.digest), content);
-    m_fragments.emplace(entry.digest, std::move(content));
-    auto const position = std::find_if(contents.entries.begin(), contents.entries.end(),
-        [&](manifest_entry const& candidate) { return candidate.service > entry.service; });
-    contents.entries.insert(position, entry);
-    return entry;
-}
-
-result<std::string> commit_session::state::ownerOfRemoved() const
-{
-    for (auto const& entry : m_base.entries) {
-        if (entry.service == m_request.service)
-            return TRY(parseService(m_fragments.at(entry.digest))).answers.owner;
-    }
-    return std::string();
-}
-
-actions commit_session::state::build(time_point now)
+std::vector<commit_action> commit_session::state::build(time_point now)
 {
     m_newObjects.clear();
     manifest next = m_base;
@@ -363,7 +87,7 @@
     return writeObjects(now);
 }
 
-actions commit_session::state::writeObjects(time_point now)
+std::vector<commit_action> commit_session::state::writeObjects(time_point now)
 {
     std::set<std::string> keys;
     for (auto const& [key, ignored] : m_newObjects) {
@@ -375,9 +99,12 @@
     return issue(commit_phase::WritingObjects, keys, now);
 }
 
-actions commit_session::state::writeHead(time_point now) { return issue(commit_phase::WritingHead, { headKey }, now); }
+std::vector<commit_action> commit_session::state::writeHead(time_point now)
+{
+    return issue(commit_phase::WritingHead, { headKey }, now);
+}
 
-actions commit_session::state::didWrite(
+std::vector<commit_action> commit_session::state::didWrite(
     std::string const& key, result<stored_object> const& answer, time_point now, generator& source)
 {
     bool const isWriting = m_phase == commit_phase::WritingObjects || m_phase == commit_phase::WritingHead;
@@ -388,7 +115,7 @@
     return didWriteObject(key, answer, now, source);
 }
 
-actions commit_session::state::didWriteObject(
+std::vector<commit_action> commit_session::state::didWriteObject(
     std::string const& key, result<stored_object> const& answer, time_point now, generator& source)
 {
     // The key names the content, so an object that is there already is the one that was to be written.
@@ -402,7 +129,8 @@
     return didSettleObject(now, source);
 }
 
-actions commit_session::state::didReadDoubtful(std::string const& key, bool isThere, time_point now, generator& source)
+std::vector<commit_action> commit_session::state::didReadDoubtful(
+    std::string const& key, bool isThere, time_point now, generator& source)
 {
     m_doubtfulKeys.erase(key);
     if (isThere)
@@ -413,7 +141,7 @@
 }
 
 // The head may name the objects only once all of them are stored.
-actions commit_session::state::didSettleObject(time_point now, generator& source)
+std::vector<commit_action> commit_session::state::didSettleObject(time_point now, generator& source)
 {
     if (!m_pending.empty())
         return {};
@@ -422,7 +150,8 @@
     return writeHead(now);
 }
 
-actions commit_session::state::didWriteHead(result<stored_object> const& answer, time_point now, generator& source)
+std::vector<commit_action> commit_session::state::didWriteHead(
+    result<stored_object> const& answer, time_point now, generator& source)
 {
     if (!answer.isError()) {
         m_unresolved.reset();
@@ -441,7 +170,7 @@
     return waitBeforeRetry(commit_phase::ReadingHead, now, source);
 }
 
-actions commit_session::state::didFailCall(
+std::vector<commit_action> commit_session::state::didFailCall(
     std::string const& key, error const& failure, time_point now, generator& source)
 {
     if (!isWorthRepeating(failure.kind))
@@ -453,7 +182,7 @@
     return waitBeforeRetry(m_phase, now, source);
 }
 
-actions commit_session::state::waitBeforeRetry(commit_phase phase, time_point now, generator& source)
+std::vector<commit_action> commit_session::state::waitBeforeRetry(commit_phase phase, time_point now, generator& source)
 {
     m_phase = phase;
     if (phase == commit_phase::ReadingHead)
@@ -465,7 +194,7 @@
     return { wait_before_retry { delay } };
 }
 
-actions commit_session::state::tick(time_point now, generator&)
+std::vector<commit_action> commit_session::state::tick(time_point now, generator&)
 {
     if (m_phase == commit_phase::Finished)
         return {};
@@ -478,7 +207,8 @@
     return issue(m_phase, std::exchange(m_failed, {}), now);
 }
 
-actions commit_session::state::issue(commit_phase phase, std::set<std::string> const& keys, time_point now)
+std::vector<commit_action> commit_session::state::issue(
+    commit_phase phase, std::set<std::string> const& keys, time_point now)
 {
     if (now >= m_deadline)
         return failAtDeadline();
@@ -501,7 +231,7 @@
     return read_object { key };
 }
 
-actions commit_session::state::accept(accepted_submission const& accepted)
+std::vector<commit_action> commit_session::state::accept(accepted_submission const& accepted)
 {
     if (accepted.service != m_request.service) {
         return fail({ error_kind::BadInput,
@@ -518,14 +248,14 @@
     return m_unresolved.has_value() || (m_phase == commit_phase::WritingHead && m_pending.contains(headKey));
 }
 
-actions commit_session::state::failAtDeadline()
+std::vector<commit_action> commit_session::state::failAtDeadline()
 {
     std::string const last = m_lastError ? ": " + m_lastError->message : "";
     return fail({ error_kind::Unavailable, "the platform could not be used before the deadline" + last,
         "nothing was changed; submit again once the platform answers" });
 }
 
-actions commit_session::state::fail(error reason)
+std::vector<commit_action> commit_session::state::fail(error reason)
 {
     if (mayHaveCommitted() && reason.kind != error_kind::OutcomeUnknown) {
         reason = { error_kind::OutcomeUnknown,
