--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -10,11 +10,11 @@
     sed -n 's/^\([A-Za-z0-9_]*\.[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt | paste -sd: -
 }
 runTests() {
-    local folder="$1" red filter
+    local folder="$1" leftOut="$2" red filter
     red=$(knownRedFilter)
-    filter='*'
-    [ -n "$red" ] && { echo "known red, passed over: $red"; filter="*:-$red"; }
-    GTEST_FILTER="$filter" ctest --test-dir "$folder" --output-on-failure -j 4 "${@:2}"
+    [ -n "$red" ] && echo "known red, passed over: $red"
+    filter=$(printf '%s\n' "$red" "$leftOut" | sed '/^$/d' | paste -sd: -)
+    GTEST_FILTER="*${filter:+:-$filter}" ctest --test-dir "$folder" --output-on-failure -j 4 "${@:3}"
 }
 for step in "${steps[@]}"; do
     echo "== $step"
@@ -23,12 +23,14 @@
     build) bash Meta/build.sh build ;;
     format) bash Meta/format.sh ;;
     lint) bash Meta/lint.sh ;;
-    tests) runTests build ;;
+    tests) runTests build '' ;;
     sanitizers)
-        bash Meta/build.sh build-asan -DMERLINPIER_SANITIZER=address,undefined -DCMAKE_BUILD_TYPE=Debug
-        runTests build-asan -E System
-        bash Meta/build.sh build-tsan -DMERLINPIER_SANITIZER=thread -DCMAKE_BUILD_TYPE=Debug
-        runTests build-tsan -E System
+        # MemberBytes only counts bytes with 560 members on one thread; Member.* runs the same code in less time. System
+        # starts the programs of the plain build.
+        bash Meta/build.sh build-asan -DMERLINPIER_SANITIZER=address,undefined
+        runTests build-asan 'MemberBytes.*' -E System
+        bash Meta/build.sh build-tsan -DMERLINPIER_SANITIZER=thread
+        runTests build-tsan 'MemberBytes.*' -E System
         ;;
     fuzz) bash Meta/fuzz.sh ;;
     *) echo "unknown step $step: use install build format lint tests sanitizers fuzz" >&2; exit 2 ;;
