Services: Keep one name for a member's state

Ruled out: a header of its own for three words. Change: the status report uses the dump's function. After: the daemon builds, format and lint of both files are clean, the thin path and the operators' race on processes pass; the other tests were not run again for this move.

--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -8,19 +8,6 @@
 
 namespace {
 
-char const* stateName(member_state state)
-{
-    switch (state) {
-    case member_state::Alive:
-        return "alive";
-    case member_state::Leaving:
-        return "leaving";
-    case member_state::Gone:
-        return "gone";
-    }
-    return "gone";
-}
-
 char const* stateName(target_state state)
 {
     switch (state) {
@@ -120,6 +107,19 @@
 
 } // namespace
 
+char const* stateName(member_state state)
+{
+    switch (state) {
+    case member_state::Alive:
+        return "alive";
+    case member_state::Leaving:
+        return "leaving";
+    case member_state::Gone:
+        return "gone";
+    }
+    return "gone";
+}
+
 std::string stateDump(daemon& owner)
 {
     nlohmann::json const dump { { "vm", owner.settings().vm }, { "zone", owner.settings().zone },
--- a/Services/Daemon/status_report.cpp
+++ b/Services/Daemon/status_report.cpp
@@ -1,6 +1,7 @@
 #include "status_report.h"
 
 #include "operator_api.h"
+#include "state_dump.h"
 
 #include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
@@ -11,11 +12,6 @@
 
 constexpr milliseconds zoneTimeout { 1000 };
 
-char const* stateName(member_state state)
-{
-    return state == member_state::Alive ? "alive" : state == member_state::Leaving ? "leaving" : "gone";
-}
-
 member_state stateFrom(std::string const& name)
 {
     if (name == "alive")
