--- a/Tests/platform/sidecar_settings_test.cpp
+++ b/Tests/platform/sidecar_settings_test.cpp
@@ -1,3 +1,4 @@
+#include <LibDistribution/distributor.h>
 #include <platform/platform_store.h>
 #include <platform/sidecar_settings.h>
 
@@ -40,6 +41,34 @@
     EXPECT_LE(client.timeouts[1], milliseconds(3000));
 }
 
+// A member of a large zone hears of a version by a heartbeat's answer, at most a second after its acknowledgement; its
+// relays were killed. What is left until the version has to be in force, two seconds after the acknowledgement, must be
+// enough to turn to the peer that has it.
+TEST(SidecarSettings, TurnsFromASilentRelayToAPeerThatHasTheVersion)
+{
+    platform_settings given;
+    given.ipNumber = "10.0.0.1";
+    given.peerAddress = "10.0.0.1:7000";
+    distributor member(daemonSettingsFrom(given, 9464).distribution);
+    member.setPeers({ .isRelay = false, .relays = { "10.0.0.2:7000" } });
+    generator random(1);
+    time_point const heard { milliseconds(1000) };
+    std::map<std::string, time_point> asked;
+    auto const note = [&](std::vector<distribution_action> const& actions, time_point now) {
+        for (auto const& action : actions) {
+            auto const* sent = std::get_if<send_message>(&action);
+            if (sent && std::holds_alternative<configuration_request>(sent->content))
+                asked.try_emplace(sent->address, now);
+        }
+    };
+    note(member.didHearVersion("10.0.0.3:7000", 7, heard), heard);
+    for (auto now = heard; now < heard + milliseconds(3000); now += milliseconds(25))
+        note(member.tick(now, random), now);
+    ASSERT_TRUE(asked.contains("10.0.0.2:7000"));
+    ASSERT_TRUE(asked.contains("10.0.0.3:7000"));
+    EXPECT_LT(asked["10.0.0.3:7000"] - heard, milliseconds(1500));
+}
+
 TEST(SidecarSettings, LeavesTimeBetweenTheStopAndTheKill)
 {
     platform_settings given;
