LibConfiguration: Write routes as FlatBuffers, and look over weights only for another configuration

Change: fragments with routes are FlatBuffers in place of JSON; weights are looked over when the version changes.

Tests: RouteTable.IsNotReadFromAFragmentCutShortOrFollowedByMore; the check of bad JSON now names the error's kind.

--- a/Libraries/LibConfiguration/configuration_set.cpp
+++ b/Libraries/LibConfiguration/configuration_set.cpp
@@ -1,5 +1,6 @@
 #include <LibConfiguration/configuration_set.h>
 
+#include <LibConfiguration/route_fragment.h>
 #include <LibConfiguration/set_rules.h>
 #include <LibCore/digest.h>
 #include <LibCore/json_object_reader.h>
--- a/Libraries/LibConfiguration/route_table.cpp
+++ b/Libraries/LibConfiguration/route_table.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::size_t maximumContentBytes = 4 * 1024 * 1024;
-constexpr std::size_t maximumRoutes = 100'000;
 constexpr std::size_t maximumServices = 10'000;
 constexpr std::uint64_t anyNumber = std::numeric_limits<std::uint32_t>::max();
 
@@ -26,51 +25,11 @@
     return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-nlohmann::json routeJson(route const& value)
-{
-    auto services = nlohmann::json::array();
-    for (auto const& part : value.services)
-        services.push_back({ { "service", part.service }, { "weight", part.weight } });
-    return { { "name", value.policy.name }, { "host", value.host }, { "path_prefix", value.pathPrefix },
-        { "services", std::move(services) }, { "is_idempotent", value.policy.isIdempotent },
-        { "priority", value.policy.priority }, { "timeout_ms", value.policy.timeout.count() },
-        { "latency_objective_ms", value.policy.latencyObjective.count() },
-        { "maximum_attempts", value.policy.maximumAttempts } };
-}
-
-result<weighted_service> readService(nlohmann::json const& value)
-{
-    auto reader = TRY(json_object_reader::tryCreate(value, "a service of a route"));
-    weighted_service part;
-    part.service = TRY(reader.text("service"));
-    part.weight = static_cast<std::uint32_t>(TRY(reader.number("weight", 0, anyNumber)));
-    TRY(reader.finish());
-    return part;
-}
-
 result<milliseconds> readTime(json_object_reader& reader, std::string const& key)
 {
     return milliseconds(TRY(reader.number(key, 0, anyNumber)));
 }
 
-result<route> readRoute(nlohmann::json const& value)
-{
-    auto reader = TRY(json_object_reader::tryCreate(value, "a route"));
-    route read;
-    read.policy.name = TRY(reader.text("name"));
-    read.host = TRY(reader.text("host"));
-    read.pathPrefix = TRY(reader.text("path_prefix"));
-    for (auto const& part : *TRY(reader.list("services", maximumServices)))
-        read.services.push_back(TRY(readService(part)));
-    read.policy.isIdempotent = TRY(reader.boolean("is_idempotent"));
-    read.policy.priority = static_cast<std::uint32_t>(TRY(reader.number("priority", 0, anyNumber)));
-    read.policy.timeout = TRY(readTime(reader, "timeout_ms"));
-    read.policy.latencyObjective = TRY(readTime(reader, "latency_objective_ms"));
-    read.policy.maximumAttempts = static_cast<std::uint32_t>(TRY(reader.number("maximum_attempts", 0, anyNumber)));
-    TRY(reader.finish());
-    return read;
-}
-
 } // namespace
 
 result<route_table> route_table::tryCreate(std::vector<route> routes)
@@ -109,25 +68,6 @@
     return nullptr;
 }
 
-std::string serializeRoutes(std::vector<route> const& routes)
-{
-    auto values = nlohmann::json::array();
-    for (auto const& value : routes)
-        values.push_back(routeJson(value));
-    return dump({ { "routes", std::move(values) } });
-}
-
-result<std::vector<route>> parseRoutes(std::string_view content)
-{
-    auto const value = TRY(parseStrictJson(content, maximumContentBytes, "a fragment with routes"));
-    auto reader = TRY(json_object_reader::tryCreate(value, "a fragment with routes"));
-    std::vector<route> routes;
-    for (auto const& entry : *TRY(reader.list("routes", maximumRoutes)))
-        routes.push_back(TRY(readRoute(entry)));
-    TRY(reader.finish());
-    return routes;
-}
-
 std::string serializeMeshSettings(mesh_settings const& settings)
 {
     auto services = nlohmann::json::array();
--- a/Libraries/LibConfiguration/route_table.h
+++ b/Libraries/LibConfiguration/route_table.h
@@ -68,22 +68,18 @@
     std::map<std::string, std::map<std::string, std::size_t, std::less<>>, std::less<>> m_byHost;
 };
 
-// The content of a fragment with routes, and of the one with services and limits: canonical JSON, so that equal values
-// have equal digests.
-std::string serializeRoutes(std::vector<route> const&);
-result<std::vector<route>> parseRoutes(std::string_view content);
-
+// What holds for all routes.
 struct mesh_settings {
     std::vector<placed_service> services;
     client_limits limits;
 
     bool operator==(mesh_settings const&) const = default;
 };
+// The content of the fragment with services and limits: canonical JSON, so that equal values have equal digests.
 std::string serializeMeshSettings(mesh_settings const&);
 result<mesh_settings> parseMeshSettings(std::string_view content);
 
-// Names of fragments that are not of a questionnaire. No service has a slash in its name.
-inline constexpr std::string_view routesFragmentPrefix = "mesh/routes/";
+// The name of that fragment. No service has a slash in its name.
 inline constexpr std::string_view meshSettingsFragment = "mesh/settings";
 
 } // namespace merlinpier
--- a/Services/Daemon/daemon.cpp
+++ b/Services/Daemon/daemon.cpp
@@ -177,8 +177,10 @@
     m_routesAreOld = false;
     m_calls.setDaemons(liveMembers());
     m_membership.buildSnapshot(m_configuration.applied(), [this](std::shared_ptr<routing_snapshot const> snapshot) {
+        auto const before = m_calls.snapshot();
+        bool const hasNewRoutes = !before || before->version() != snapshot->version();
         m_calls.setSnapshot(snapshot);
-        if (m_didRenewRoutes)
+        if (hasNewRoutes && m_didRenewRoutes)
             m_didRenewRoutes(*snapshot);
     });
 }
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -49,7 +49,7 @@
     event_loop& loop() { return m_environment.loop; }
     http_client& http() { return m_environment.http; }
     std::uint64_t instance() const { return m_instance; }
-    // Called when a new routing snapshot is in force.
+    // Called when the routes of another configuration are in force.
     void setRoutesHandler(std::function<void(routing_snapshot const&)> handler)
     {
         m_didRenewRoutes = std::move(handler);
--- a/Tests/LibConfiguration/route_table_test.cpp
+++ b/Tests/LibConfiguration/route_table_test.cpp
@@ -1,4 +1,5 @@
 #include <LibConfiguration/configuration_set.h>
+#include <LibConfiguration/route_fragment.h>
 #include <LibConfiguration/route_table.h>
 #include <LibCore/digest.h>
 
@@ -63,11 +64,21 @@
     EXPECT_EQ(parseRoutes(serializeRoutes(routes)).value(), routes);
     mesh_settings const settings { { { "slots", 110 } }, { 100, 200, milliseconds(300), milliseconds(400) } };
     EXPECT_EQ(parseMeshSettings(serializeMeshSettings(settings)).value(), settings);
-    EXPECT_TRUE(parseRoutes("{}").isError());
-    EXPECT_TRUE(parseRoutes("{\"routes\":[{\"name\":1}]}").isError());
+    for (std::string const bytes : { "", "{}", "{\"routes\":[{\"name\":1}]}" })
+        EXPECT_EQ(parseRoutes(bytes).failure().kind, error_kind::Corrupt);
     EXPECT_TRUE(parseMeshSettings("[]").isError());
 }
 
+TEST(RouteTable, IsNotReadFromAFragmentCutShortOrFollowedByMore)
+{
+    auto const content = serializeRoutes({ makeRoute("x", "a.example", "/p/"), makeRoute("y", "b.example", "/") });
+    for (std::size_t size = 0; size < content.size(); ++size)
+        EXPECT_TRUE(parseRoutes(content.substr(0, size)).isError()) << size << " bytes";
+    EXPECT_TRUE(parseRoutes(content + "x").isError());
+    // At any place in memory.
+    EXPECT_FALSE(parseRoutes(std::string_view(" " + content).substr(1)).isError());
+}
+
 TEST(RouteTable, ComesWithAConfigurationWholeOrNotAtAll)
 {
     auto const settings = makeFragment("mesh/settings", serializeMeshSettings({ { { "slots", 110 } }, {} }));
