LibCalls, LibDistribution: Refuse late calls that are overtaken; ask for a first version at once

Look-ups of lists were refused after 804 ms in the middle (517 of 11,364, deadline_too_short): a call past its objective goes last, and calls that arrive later overtook it until its deadline. And after all VMs lost power at 38.5 s daemons were started at 39.8 s, but had a version only at 41.3 to 42.2 s: a member with no version waited 0.6 s for its relay's push, which is only made of changes.

Ruled out: links that are waited for (the refusals name the target's queue); the store (relays had the version at 40.3 s).

Change: a late call that as many later ones have overtaken as there are slots is refused, with a time to come back; a daemon without a version asks at once. Tests: AdmissionQueue.RefusesALateCallThatAWholeRoundHasOvertaken (seen failing), KeepsALateCallThatNothingOvertakes, Distributor.AsksAtOnceForTheFirstVersionThatItHearsOf (not seen failing: written after the change).

--- a/Libraries/LibCalls/admission_queue.cpp
+++ b/Libraries/LibCalls/admission_queue.cpp
@@ -42,13 +42,13 @@
     if (queued() >= m_limits.queueLimit) {
         // Among equals the newest makes room.
         auto const last = std::min_element(m_waiting.rbegin(), m_waiting.rend(),
-            [&](auto const& first, auto const& second) { return goesBefore(second, first, now); });
-        if (last == m_waiting.rend() || !goesBefore(request, *last, now))
+            [&](auto const& first, auto const& second) { return goesBefore(second.request, first.request, now); });
+        if (last == m_waiting.rend() || !goesBefore(request, last->request, now))
             return { refuse(request.id, kind::RefuseOverloaded, now) };
-        decisions.push_back(refuse(last->id, kind::RefuseOverloaded, now));
+        decisions.push_back(refuse(last->request.id, kind::RefuseOverloaded, now));
         m_waiting.erase(std::next(last).base());
     }
-    m_waiting.push_back(request);
+    m_waiting.push_back({ request });
     decisions.insert(decisions.begin(), { request.id, kind::Wait, milliseconds(0) });
     return decisions;
 }
@@ -73,8 +73,8 @@
 
 bool admission_queue::withdraw(std::string const& id)
 {
-    auto const isWanted = [&](admission_request const& request) {
-        return request.id == id;
+    auto const isWanted = [&](waiting_call const& waiting) {
+        return waiting.request.id == id;
     };
     return std::erase_if(m_waiting, isWanted) > 0;
 }
@@ -83,7 +83,7 @@
 {
     std::vector<admission_decision> decisions;
     for (auto const& waiting : std::exchange(m_waiting, {}))
-        decisions.push_back(refuse(waiting.id, admission_decision::kind::RefuseOverloaded, now));
+        decisions.push_back(refuse(waiting.request.id, admission_decision::kind::RefuseOverloaded, now));
     return decisions;
 }
 
@@ -163,25 +163,35 @@
     dropLate(now, decisions);
     while (!m_waiting.empty()) {
         auto const next = std::min_element(m_waiting.begin(), m_waiting.end(),
-            [&](auto const& first, auto const& second) { return goesBefore(first, second, now); });
+            [&](auto const& first, auto const& second) { return goesBefore(first.request, second.request, now); });
         // Calls that sort behind a report are reports, too.
-        if (!hasSlotFor(next->callClass))
+        if (!hasSlotFor(next->request.callClass))
             return;
-        start(*next, now, decisions);
+        start(next->request, now, decisions);
+        std::for_each(m_waiting.begin(), next, [](waiting_call& earlier) { ++earlier.overtakenBy; });
         m_waiting.erase(next);
     }
 }
 
 void admission_queue::dropLate(time_point now, std::vector<admission_decision>& decisions)
 {
-    std::erase_if(m_waiting, [&](admission_request const& request) {
-        if (canStillEnd(request, duration::zero(), now))
+    std::erase_if(m_waiting, [&](waiting_call const& waiting) {
+        auto const& request = waiting.request;
+        if (!canStillEnd(request, duration::zero(), now))
+            decisions.push_back(refuse(request.id, admission_decision::kind::RefuseDeadline, now));
+        else if (isStarving(waiting, now))
+            decisions.push_back(refuse(request.id, admission_decision::kind::RefuseOverloaded, now));
+        else
             return false;
-        decisions.push_back(refuse(request.id, admission_decision::kind::RefuseDeadline, now));
         return true;
     });
 }
 
+bool admission_queue::isStarving(waiting_call const& waiting, time_point now) const
+{
+    return waiting.overtakenBy >= m_limits.slots && isTooLate(waiting.request, duration::zero(), now);
+}
+
 bool admission_queue::canStillEnd(admission_request const& request, duration wait, time_point now) const
 {
     return now + wait + serviceTime(request) + m_limits.deadlineMargin <= request.deadline;
@@ -212,8 +222,8 @@
 
 std::size_t admission_queue::callsAheadOf(admission_request const& request, time_point now) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_waiting.begin(), m_waiting.end(), [&](auto const& waiting) { return !goesBefore(request, waiting, now); }));
+    return static_cast<std::size_t>(std::count_if(m_waiting.begin(), m_waiting.end(),
+        [&](auto const& waiting) { return !goesBefore(request, waiting.request, now); }));
 }
 
 } // namespace merlinpier
--- a/Libraries/LibCalls/admission_queue.h
+++ b/Libraries/LibCalls/admission_queue.h
@@ -56,7 +56,9 @@
 // The slots of one target and the short queue before them. It refuses at once a call that would miss its deadline, or
 // miss its latency objective by much, by the service times learnt so far. Reports wait behind interactive calls and
 // confirmations, less urgent calls behind more urgent ones; among equals the earliest objective goes first (EDF, Liu
-// and Layland 1973), and calls that will miss theirs go last. A slot is held until the end of its call is reported.
+// and Layland 1973), and calls that will miss theirs go last. One of these that a whole round of later calls has
+// overtaken is refused, since it would most likely wait for its deadline in vain. A slot is held until the end of its
+// call is reported.
 class admission_queue {
 public:
     void setLimits(admission_limits const& limits) { m_limits = limits; }
@@ -87,6 +89,11 @@
         std::string kind;
         time_point since {};
     };
+    struct waiting_call {
+        admission_request request;
+        // Calls that came later and were started before it.
+        std::uint32_t overtakenBy { 0 };
+    };
 
     bool hasSlotFor(call_class) const;
     duration expectedWait(std::size_t callsAhead) const;
@@ -97,6 +104,8 @@
     void start(admission_request const&, time_point now, std::vector<admission_decision>&);
     void startWaiting(time_point now, std::vector<admission_decision>&);
     void dropLate(time_point now, std::vector<admission_decision>&);
+    // Whether the call is late and is likely to go on being overtaken.
+    bool isStarving(waiting_call const&, time_point now) const;
     bool canStillEnd(admission_request const&, duration wait, time_point now) const;
     bool missesObjective(admission_request const&, duration wait, time_point now) const;
     bool isTooLate(admission_request const&, duration wait, time_point now) const;
@@ -107,7 +116,7 @@
     admission_limits m_limits;
     std::map<std::string, running_call> m_running;
     // In order of arrival.
-    std::deque<admission_request> m_waiting;
+    std::deque<waiting_call> m_waiting;
     service_times m_serviceTimes;
     // Refusals, each fading with time.
     double m_recentRefusals { 0 };
--- a/Libraries/LibDistribution/distribution_settings.h
+++ b/Libraries/LibDistribution/distribution_settings.h
@@ -18,7 +18,7 @@
     // one call together.
     milliseconds watchPause { 0 };
     // A daemon asks a peer for a version that it has only heard of after this time: its own watch or its relay's push
-    // is likely to bring it.
+    // is likely to bring it. One that has no version yet asks at once.
     milliseconds peerPatience { 0 };
     // Whether relays are asked before other peers that have shown the version. Relays have the widest links.
     bool asksRelaysFirst { false };
--- a/Libraries/LibDistribution/distributor.cpp
+++ b/Libraries/LibDistribution/distributor.cpp
@@ -92,7 +92,9 @@
     if (m_settings.mode == distribution_mode::Baseline || wanted == 0)
         return;
     bool const isPlatformSilent = watches() && m_calls.silentSince();
-    if (!isPlatformSilent && now - *m_behindSince < m_settings.peerPatience)
+    // Relays push what has changed; a daemon that has nothing gets nothing unless it asks.
+    bool const isPushLikely = m_store.applied()->version() > 0 || watches();
+    if (isPushLikely && !isPlatformSilent && now - *m_behindSince < m_settings.peerPatience)
         return;
     bool const isPromising = isReadingPlatform() && m_head.version >= wanted && !m_calls.silentSince();
     if (isPromising && now - m_assemblySince < m_settings.requestTimeout / platformPatienceDivisor)
--- a/Tests/LibCalls/admission_queue_test.cpp
+++ b/Tests/LibCalls/admission_queue_test.cpp
@@ -196,6 +196,36 @@
     EXPECT_EQ(decisions[0].id, "second") << "the first is late whatever happens";
 }
 
+// Pattern: a target that has turned slow keeps as many calls coming as it can end. What is late already would be
+// overtaken by each of them until its deadline.
+TEST(AdmissionQueue, RefusesALateCallThatAWholeRoundHasOvertaken)
+{
+    auto queue = makeQueue(1, 100);
+    teachKind(queue, "list", milliseconds(100));
+    decide(queue, makeKind("running", "list", 1, seconds(5)));
+    EXPECT_EQ(decide(queue, makeKind("late", "list", 1, milliseconds(200))), kind::Wait);
+    auto const afterwards = start + milliseconds(190);
+    EXPECT_TRUE(queue.tick(afterwards).empty()) << "it is late, but nothing has overtaken it";
+    queue.offer(makeKind("next", "list", 1, milliseconds(600)), afterwards);
+    queue.offer(makeKind("after next", "list", 1, milliseconds(700)), afterwards);
+    ASSERT_EQ(queue.release("running", learning::Ignore, afterwards)[0].id, "next");
+    auto const decisions = queue.tick(afterwards + milliseconds(25));
+    ASSERT_EQ(decisions.size(), 1u);
+    EXPECT_EQ(decisions[0].id, "late");
+    EXPECT_EQ(decisions[0].what, kind::RefuseOverloaded);
+}
+
+TEST(AdmissionQueue, KeepsALateCallThatNothingOvertakes)
+{
+    auto queue = makeQueue(1, 100);
+    teachKind(queue, "list", milliseconds(100));
+    decide(queue, makeKind("running", "list", 1, seconds(5)));
+    decide(queue, makeKind("late", "list", 1, milliseconds(200)));
+    auto const decisions = queue.release("running", learning::Ignore, start + milliseconds(500));
+    ASSERT_EQ(decisions.size(), 1u);
+    EXPECT_EQ(decisions[0].what, kind::Run) << "a late answer is better than a refusal";
+}
+
 TEST(AdmissionQueue, RefusesWhatWaitsWhenTheTargetTakesNoNewWork)
 {
     auto queue = makeQueue(1, 10);
--- a/Tests/LibDistribution/distributor_test.cpp
+++ b/Tests/LibDistribution/distributor_test.cpp
@@ -422,4 +422,24 @@
     EXPECT_EQ(std::get<watch_platform>(actions[1]).afterRevision, 4u);
 }
 
+// Pattern: all VMs of a zone return from a loss of power. Relays push what has changed, so a member that has nothing
+// yet must not wait for a push; one that has an older version may.
+TEST(Distributor, AsksAtOnceForTheFirstVersionThatItHearsOf)
+{
+    distribution_settings settings;
+    settings.peerPatience = milliseconds(600);
+    time_point const now { seconds(1) };
+    distributor returned(settings);
+    returned.setPeers({ .isRelay = false, .relays = { "r1" } });
+    auto const actions = returned.didReceive("r1", version_announce { 7, "digest" }, now);
+    ASSERT_EQ(actions.size(), 1u);
+    EXPECT_TRUE(std::holds_alternative<configuration_request>(std::get<send_message>(actions[0]).content));
+
+    distributor member(settings);
+    member.setPeers({ .isRelay = false, .relays = { "r1" } });
+    member.didReceive("r1", answerOf(*versionOf(6)), now);
+    ASSERT_EQ(member.store().applied()->version(), 6u);
+    EXPECT_TRUE(member.didReceive("r1", version_announce { 7, "digest" }, now).empty());
+}
+
 } // namespace merlinpier
