LibCalls: Tell requests that came back by their deadline, and serve them after new ones

Cause: after an outage or a refusal callers come back beside new ones.

Ruled out: to serve returned requests first, as a promise kept: a late answer is worth a half or a tenth to these callers, and each one served first makes another late.

Change: the first daemon learns how much time callers of a kind allow (the 90th percentile, P2 of Boost.Accumulators); what a request lacks of it has been spent. A request whose objective has passed waits behind those that can still end in time, and is refused when its deadline cannot be met or a whole round has overtaken it.

--- a/Libraries/LibCalls/admission_queue.cpp
+++ b/Libraries/LibCalls/admission_queue.cpp
@@ -189,7 +189,8 @@
 
 bool admission_queue::isStarving(waiting_call const& waiting, time_point now) const
 {
-    return waiting.overtakenBy >= m_limits.slots && isTooLate(waiting.request, duration::zero(), now);
+    bool const isLate = waiting.request.isLate || isTooLate(waiting.request, duration::zero(), now);
+    return isLate && waiting.overtakenBy >= m_limits.slots;
 }
 
 bool admission_queue::canStillEnd(admission_request const& request, duration wait, time_point now) const
@@ -199,11 +200,15 @@
 
 bool admission_queue::missesObjective(admission_request const& request, duration wait, time_point now) const
 {
-    return request.objective != time_point {} && now + wait + serviceTime(request) > request.objective;
+    bool const hasObjective = request.objective != time_point {};
+    return request.isLate || (hasObjective && now + wait + serviceTime(request) > request.objective);
 }
 
 bool admission_queue::isTooLate(admission_request const& request, duration wait, time_point now) const
 {
+    // What came late has only its deadline left to meet.
+    if (request.isLate)
+        return false;
     // A short call takes little room, and is often made by a longer one whose run would be wasted.
     if (!missesObjective(request, wait, now) || serviceTime(request) * shortCallFactor <= serviceTimeOfRunning())
         return false;
@@ -215,7 +220,7 @@
 {
     auto const rank = [&](admission_request const& request) {
         return std::tuple(request.callClass == call_class::Report, request.priority,
-            missesObjective(request, duration::zero(), now), request.objective);
+            missesObjective(request, duration::zero(), now), request.isLate ? request.deadline : request.objective);
     };
     return rank(first) < rank(second);
 }
--- a/Libraries/LibCalls/admission_queue.h
+++ b/Libraries/LibCalls/admission_queue.h
@@ -37,6 +37,8 @@
     std::uint32_t priority { 0 };
     // Until when the call's end is worth most; the epoch if there is no such time.
     time_point objective {};
+    // That time had passed when the caller's request came.
+    bool isLate { false };
 
     bool operator==(admission_request const&) const = default;
 };
@@ -56,9 +58,9 @@
 // The slots of one target and the short queue before them. It refuses at once a call that would miss its deadline, or
 // miss its latency objective by much, by the service times learnt so far. Reports wait behind interactive calls and
 // confirmations, less urgent calls behind more urgent ones; among equals the earliest objective goes first (EDF, Liu
-// and Layland 1973), and calls that will miss theirs go last. One of these that a whole round of later calls has
-// overtaken is refused, since it would most likely wait for its deadline in vain. A slot is held until the end of its
-// call is reported.
+// and Layland 1973), and calls that will miss theirs go last: after an outage, callers that come back take what new
+// calls leave. A call that will be late and that a whole round of later ones has overtaken is refused, since it would
+// most likely wait for its deadline in vain. A slot is held until the end of its call is reported.
 class admission_queue {
 public:
     void setLimits(admission_limits const& limits) { m_limits = limits; }
--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -76,9 +76,7 @@
         return out;
     }
     record.policy = *policy;
-    record.deadline = now + std::min(policy->timeout, record.request.remaining.value_or(policy->timeout));
-    bool const hasObjective = policy->latencyObjective > milliseconds(0);
-    record.objective = hasObjective ? now + policy->latencyObjective : record.deadline;
+    setTimes(record, now);
     m_budgets.didStartCall(record.request.service, now);
     if (record.deadline <= now)
         complete(record, notRun(refusal_reason::DeadlineTooShort, shortestRetryAfterMs), out);
@@ -87,6 +85,20 @@
     return out;
 }
 
+void call_client::setTimes(call_record& record, time_point now)
+{
+    auto const& policy = record.policy;
+    auto const remaining = record.request.remaining;
+    record.deadline = now + std::min(policy.timeout, remaining.value_or(policy.timeout));
+    record.objective = record.deadline;
+    if (policy.latencyObjective <= milliseconds(0))
+        return;
+    auto const spent = remaining ? m_usualDeadlines.didReceive(policy.name, *remaining) : duration::zero();
+    record.isLate = spent >= policy.latencyObjective;
+    if (!record.isLate)
+        record.objective = now + policy.latencyObjective - spent;
+}
+
 std::vector<client_action> call_client::cancel(std::string const& id, time_point now)
 {
     actions out;
@@ -295,8 +307,10 @@
     call.caller = request.caller;
     call.priority = record.policy.priority;
     call.onlyIfFree = record.attempt->isProbe;
-    bool const hasObjective = record.policy.latencyObjective > milliseconds(0) && record.objective > now;
+    bool const hasObjective
+        = record.policy.latencyObjective > milliseconds(0) && !record.isLate && record.objective > now;
     call.objectiveMs = hasObjective ? static_cast<std::uint32_t>(toMilliseconds(record.objective - now)) : 0;
+    call.isLate = record.isLate;
     return call;
 }
 
--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -4,6 +4,7 @@
 #include <LibCalls/call_outcome.h>
 #include <LibCalls/call_record.h>
 #include <LibCalls/caller_request.h>
+#include <LibCalls/usual_deadlines.h>
 #include <LibCore/generator.h>
 #include <LibCore/time.h>
 #include <LibRouting/retry_budgets.h>
@@ -125,6 +126,8 @@
     static call_not_run notRun(refusal_reason, std::uint32_t retryAfterMs);
     call_record* findByAttempt(std::string const& attempt);
     bool joinInProgress(caller_request const&);
+    // Sets deadline and objective of a new call.
+    void setTimes(call_record&, time_point now);
     std::optional<route_target> chooseTarget(call_record const&, time_point now, generator&) const;
     call_demand demandOf(call_record const&, time_point now) const;
     // Learns what calls of the kind carry.
@@ -163,6 +166,7 @@
     // Attempts sent and not ended, by address of the daemon.
     std::map<std::string, std::size_t> m_outstanding;
     retry_budgets m_budgets;
+    usual_deadlines m_usualDeadlines;
     acknowledgement_batch m_acknowledgements;
     std::uint64_t m_lastAttempt { 0 };
     // Mean bytes of request and answer by kind.
--- a/Libraries/LibCalls/call_record.h
+++ b/Libraries/LibCalls/call_record.h
@@ -13,8 +13,10 @@
     caller_request request;
     call_policy policy;
     time_point deadline {};
-    // Until when an answer is worth most; the deadline where there is no such time.
+    // Until when an answer is worth most; the deadline where there is no such time or it has passed.
     time_point objective {};
+    // The latency objective had passed when the request came: it came back after a refusal.
+    bool isLate { false };
     // Targets that were tried, and how often in all.
     std::set<std::string> tried;
     std::uint32_t attempts { 0 };
--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -65,8 +65,9 @@
         m_settings.answerRetention, attempt->isKeyed ? serviceConfiguration->answerRetention : duration::zero());
     m_ledger.add(attempt->call, entry);
     auto const objective = call.objectiveMs > 0 ? now + milliseconds(call.objectiveMs) : time_point {};
-    apply(
-        queue.offer({ attempt->call, call.callClass, entry.deadline, call.entryPoint, call.priority, objective }, now),
+    apply(queue.offer(
+              { attempt->call, call.callClass, entry.deadline, call.entryPoint, call.priority, objective, call.isLate },
+              now),
         now, actions);
     return actions;
 }
--- a/Libraries/LibWire/call_codec.cpp
+++ b/Libraries/LibWire/call_codec.cpp
@@ -51,7 +51,7 @@
     auto const callClass = static_cast<wire::CallClass>(value.callClass);
     return wire::CreateCall(builder, id, value.instance, value.generation, service, target, entryPoint, method, path,
         headers, body, callClass, value.isIdempotent, value.remainingMs, value.hops, value.version, caller,
-        value.priority, value.onlyIfFree, value.objectiveMs);
+        value.priority, value.onlyIfFree, value.objectiveMs, value.isLate);
 }
 
 flatbuffers::Offset<wire::CallAnswer> encode(flatbuffers::FlatBufferBuilder& builder, call_answer const& value)
@@ -123,6 +123,7 @@
         .priority = table.priority(),
         .objectiveMs = table.objective_ms(),
         .onlyIfFree = table.only_if_free(),
+        .isLate = table.is_late(),
     };
 }
 
--- a/Libraries/LibWire/call_messages.h
+++ b/Libraries/LibWire/call_messages.h
@@ -76,6 +76,8 @@
     std::uint32_t objectiveMs { 0 };
     // Asks to refuse the call unless it can begin at once, since the sender has other targets to try.
     bool onlyIfFree { false };
+    // The latency objective had passed when the request came: it came back after a refusal.
+    bool isLate { false };
 
     bool operator==(call_request const&) const = default;
 };
--- a/Libraries/LibWire/frames_generated.h
+++ b/Libraries/LibWire/frames_generated.h
@@ -1868,7 +1868,8 @@
     VT_CALLER = 34,
     VT_PRIORITY = 36,
     VT_ONLY_IF_FREE = 38,
-    VT_OBJECTIVE_MS = 40
+    VT_OBJECTIVE_MS = 40,
+    VT_IS_LATE = 42
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1927,6 +1928,9 @@
   uint32_t objective_ms() const {
     return GetField<uint32_t>(VT_OBJECTIVE_MS, 0);
   }
+  bool is_late() const {
+    return GetField<uint8_t>(VT_IS_LATE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1958,6 +1962,7 @@
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint8_t>(verifier, VT_ONLY_IF_FREE, 1) &&
            VerifyField<uint32_t>(verifier, VT_OBJECTIVE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LATE, 1) &&
            verifier.EndTable();
   }
 };
@@ -2023,6 +2028,9 @@
   void add_objective_ms(uint32_t objective_ms) {
     fbb_.AddElement<uint32_t>(Call::VT_OBJECTIVE_MS, objective_ms, 0);
   }
+  void add_is_late(bool is_late) {
+    fbb_.AddElement<uint8_t>(Call::VT_IS_LATE, static_cast<uint8_t>(is_late), 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2054,7 +2062,8 @@
     flatbuffers::Offset<flatbuffers::String> caller = 0,
     uint32_t priority = 0,
     bool only_if_free = false,
-    uint32_t objective_ms = 0) {
+    uint32_t objective_ms = 0,
+    bool is_late = false) {
   CallBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_generation(generation);
@@ -2072,6 +2081,7 @@
   builder_.add_target(target);
   builder_.add_service(service);
   builder_.add_id(id);
+  builder_.add_is_late(is_late);
   builder_.add_only_if_free(only_if_free);
   builder_.add_is_idempotent(is_idempotent);
   builder_.add_call_class(call_class);
@@ -2103,7 +2113,8 @@
     const char *caller = nullptr,
     uint32_t priority = 0,
     bool only_if_free = false,
-    uint32_t objective_ms = 0) {
+    uint32_t objective_ms = 0,
+    bool is_late = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -2133,7 +2144,8 @@
       caller__,
       priority,
       only_if_free,
-      objective_ms);
+      objective_ms,
+      is_late);
 }
 
 struct CallAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/LibWire/arbitrary_messages.h
+++ b/Tests/LibWire/arbitrary_messages.h
@@ -68,7 +68,8 @@
         .caller = drawText(),
         .priority = drawCount(),
         .objectiveMs = drawCount(),
-        .onlyIfFree = drawBelow(2) == 1 };
+        .onlyIfFree = drawBelow(2) == 1,
+        .isLate = drawBelow(2) == 1 };
 }
 
 inline call_status drawStatus()
