LibRouting: Do not offer far targets a large request that they have just refused

Only requests with a body of 1 KB or more are kept back.

Change: a target of another zone is not offered a kind of call that it has refused in the last half second at no more load; the caller is told at once when to come back, by that refusal. Tests: ExpectedFinish.DoesNotOfferAFarTargetWhatItHasJustRefused and two more, written with the change; not seen failing without it.

--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -245,7 +245,18 @@
     auto const size = m_bytesByKind.find(record.policy.name);
     auto const bytes
         = size == m_bytesByKind.end() ? record.request.body.size() : static_cast<std::size_t>(size->second);
-    return { record.policy.name, record.objective - now, bytes };
+    return { record.policy.name, record.objective - now, bytes, record.request.body.size() };
+}
+
+// Why no target is left to send the call to.
+call_not_run call_client::refusalWithoutTarget(call_record const& record, time_point now) const
+{
+    auto const* service = m_snapshot ? m_snapshot->service(record.request.service) : nullptr;
+    auto const comeBackIn
+        = service ? m_chooser.mustComeBackIn(*service, demandOf(record, now), record.tried, now) : std::nullopt;
+    if (!comeBackIn)
+        return notRun(refusal_reason::UnknownTarget, retryAfterNoTargetMs);
+    return notRun(refusal_reason::Overloaded, static_cast<std::uint32_t>(toMilliseconds(*comeBackIn)));
 }
 
 void call_client::learnSize(call_record const& record, call_answer const& answer)
@@ -260,7 +271,7 @@
 {
     auto const target = chooseTarget(record, now, random);
     if (!target) {
-        complete(record, notRun(refusal_reason::UnknownTarget, retryAfterNoTargetMs), out);
+        complete(record, refusalWithoutTarget(record, now), out);
         return;
     }
     attempt_identifier const identifier { record.request.id, ++m_lastAttempt, record.isKeyed() };
@@ -373,7 +384,11 @@
         = record.isBoundToTarget() ? isAboutLeaving(refusal.reason) : refusal.reason != refusal_reason::StaleGeneration;
     if (isOver)
         record.tried.insert(record.attempt->target.id);
+    auto const target = record.attempt->target.id;
     endAttempt(record, ending, now);
+    // A call that came late is refused sooner than others, which says little about those.
+    if (refusal.reason == refusal_reason::Overloaded && !record.isLate)
+        m_chooser.didRefuseForLoad(target, record.policy.name, milliseconds(refusal.retryAfterMs), now);
     // A budget that all daemons share bounds what arrives at the targets.
     bool const needsBudget = m_settings.sharedBudget ? hasReachedTarget(refusal.reason) : !isAboutRoute(refusal.reason);
     if (!isWorthRetry(record, refusal.reason, now, random) || (needsBudget && !tryTakeBudget(record, now))) {
--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -129,6 +129,7 @@
     // Sets deadline and objective of a new call.
     void setTimes(call_record&, time_point now);
     std::optional<route_target> chooseTarget(call_record const&, time_point now, generator&) const;
+    call_not_run refusalWithoutTarget(call_record const&, time_point now) const;
     call_demand demandOf(call_record const&, time_point now) const;
     // Learns what calls of the kind carry.
     void learnSize(call_record const&, call_answer const&);
--- a/Libraries/LibRouting/target_chooser.cpp
+++ b/Libraries/LibRouting/target_chooser.cpp
@@ -27,6 +27,11 @@
 constexpr double bytesPerKilobyte = 1024;
 // Headers and frames of a call and its answer, beside their bodies.
 constexpr double overheadBytes = 600;
+// A target of another zone is not offered a kind of call that it has refused this lately, unless its load has fallen
+// since: the body would cross in vain. Short, so that room is found soon after it comes about.
+constexpr milliseconds refusalMemory { 500 };
+// Smaller requests are offered all the same: a refusal of one wastes little.
+constexpr std::size_t largeRequestBytes = 1024;
 // A call that was refused elsewhere is tried where it costs less than this; beyond it, the caller does better to come
 // back to its own zone.
 constexpr double promisingCost = 0.7;
@@ -74,8 +79,12 @@
     auto const all = admissible(service, tried, now);
     candidates near;
     candidates far;
-    for (auto const* target : all)
-        (target->zone == m_settings.zone ? near : far).push_back(target);
+    for (auto const* target : all) {
+        if (target->zone == m_settings.zone)
+            near.push_back(target);
+        else if (!expectedRefusal(*target, demand, now))
+            far.push_back(target);
+    }
     auto compared = sample(near, random);
     std::copy_if(near.begin(), near.end(), std::back_inserter(compared),
         [&](auto const* target) { return hasFreshLoad(*target, now); });
@@ -100,6 +109,36 @@
         && now - *found->second.loadHeardAt <= freshLoadAge;
 }
 
+load_refusal const* target_chooser::expectedRefusal(
+    route_target const& target, call_demand const& demand, time_point now) const
+{
+    auto const found = m_observations.find(target.id);
+    bool const isCheap = target.zone == m_settings.zone || demand.requestBytes < largeRequestBytes;
+    if (isCheap || found == m_observations.end())
+        return nullptr;
+    auto const refusal = found->second.refusals.find(demand.kind);
+    if (refusal == found->second.refusals.end() || now - refusal->second.at > refusalMemory)
+        return nullptr;
+    return found->second.loadPermille >= refusal->second.loadPermille ? &refusal->second : nullptr;
+}
+
+std::optional<duration> target_chooser::mustComeBackIn(
+    service_route const& service, call_demand const& demand, std::set<std::string> const& tried, time_point now) const
+{
+    if (m_settings.policy != choice_policy::ExpectedFinish)
+        return std::nullopt;
+    std::optional<time_point> earliest;
+    for (auto const* target : admissible(service, tried, now)) {
+        auto const* refusal = expectedRefusal(*target, demand, now);
+        if (!refusal)
+            return std::nullopt;
+        earliest = earliest ? std::min(*earliest, refusal->comeBackAt) : refusal->comeBackAt;
+    }
+    if (!earliest)
+        return std::nullopt;
+    return std::max(*earliest - now, duration::zero());
+}
+
 std::size_t target_chooser::nearTargets(
     service_route const& service, std::set<std::string> const& tried, time_point now) const
 {
@@ -241,6 +280,13 @@
         seen.ejections = 0;
 }
 
+void target_chooser::didRefuseForLoad(
+    std::string const& target, std::string const& kind, duration retryAfter, time_point now)
+{
+    if (auto const found = m_observations.find(target); found != m_observations.end())
+        found->second.refusals[kind] = { found->second.loadPermille, now, now + retryAfter };
+}
+
 void target_chooser::didFail(target_observation& seen, time_point now) const
 {
     ++seen.failuresInRow;
--- a/Libraries/LibRouting/target_chooser.h
+++ b/Libraries/LibRouting/target_chooser.h
@@ -23,6 +23,8 @@
     duration objective { 0 };
     // Bytes that request and answer are expected to carry.
     std::size_t bytes { 0 };
+    // Bytes of the request's body, which a refusal lets cross in vain.
+    std::size_t requestBytes { 0 };
 
     bool operator==(call_demand const&) const = default;
 };
@@ -86,6 +88,12 @@
     void didSend(std::string const& target, time_point now);
     // An attempt has ended; load in thousandths of the slots, if its answer carried it.
     void didEnd(std::string const& target, attempt_outcome, std::optional<std::uint32_t> loadPermille, time_point now);
+    // The target's daemon refused a call of the kind for want of room; didEnd() has been told of its load.
+    void didRefuseForLoad(std::string const& target, std::string const& kind, duration retryAfter, time_point now);
+    // When a call of the kind may come back, if every target left would most likely refuse it now; nothing if there is
+    // one to offer it to.
+    std::optional<duration> mustComeBackIn(
+        service_route const&, call_demand const&, std::set<std::string> const& tried, time_point now) const;
     // The target's daemon told what calls of the kind have lately needed there.
     void didReportServiceTime(std::string const& target, std::string const& kind, duration);
     // Forgets targets that are in no service of the snapshot any more; new ones start slowly.
@@ -102,6 +110,9 @@
     std::uint64_t score(route_target const&, time_point now) const;
     static candidates sample(candidates, generator&);
     bool hasFreshLoad(route_target const&, time_point now) const;
+    // The refusal that a call would most likely meet again at a target of another zone; nothing if it
+    // should be offered there.
+    load_refusal const* expectedRefusal(route_target const&, call_demand const&, time_point now) const;
     double cost(route_target const&, call_demand const&, time_point now) const;
     duration typicalServiceTime(std::string const& kind) const;
     void didFail(target_observation&, time_point now) const;
--- a/Libraries/LibRouting/target_observation.h
+++ b/Libraries/LibRouting/target_observation.h
@@ -4,10 +4,21 @@
 #include <LibRouting/routing_snapshot.h>
 #include <LibRouting/service_times.h>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace merlinpier {
 
+// A target refused a call for want of room.
+struct load_refusal {
+    // Its load then, in thousandths of the slots.
+    std::uint32_t loadPermille { 0 };
+    time_point at {};
+    // When it said that such a call may come back.
+    time_point comeBackAt {};
+};
+
 // What this daemon has seen of one target by its own calls.
 struct target_observation {
     // Attempts sent and not ended.
@@ -27,6 +38,9 @@
     // Attempts sent since load was heard.
     std::size_t sentSinceHeard { 0 };
 
+    // Refusals of kinds of calls for want of room.
+    std::map<std::string, load_refusal> refusals;
+
     bool isEjected(time_point now) const { return now < ejectedUntil; }
 };
 
--- a/Tests/LibRouting/expected_finish_test.cpp
+++ b/Tests/LibRouting/expected_finish_test.cpp
@@ -105,4 +105,45 @@
         EXPECT_LE(count, 25) << target << " meets the calls of most daemons at once";
 }
 
+// Pattern: one overloaded target of a service in another zone, and calls with large bodies.
+TEST(ExpectedFinish, DoesNotOfferAFarTargetWhatItHasJustRefused)
+{
+    auto chooser = makeChooser();
+    auto const service = makeService({ { "far", "b" } });
+    call_demand const reservation { "reservation", milliseconds(250), 9000, 4000 };
+    report(chooser, "far", "reservation", milliseconds(80), 3000);
+    chooser.didRefuseForLoad("far", "reservation", milliseconds(400), now);
+    generator source(1);
+    EXPECT_FALSE(chooser.chooseFor(service, reservation, {}, now + milliseconds(100), source));
+    EXPECT_EQ(chooser.mustComeBackIn(service, reservation, {}, now + milliseconds(100)), duration(milliseconds(300)));
+    EXPECT_TRUE(chooser.chooseFor(service, { "lookup", milliseconds(60), 100 }, {}, now, source))
+        << "other kinds may find room";
+    EXPECT_FALSE(chooser.mustComeBackIn(service, { "lookup", milliseconds(60), 100 }, {}, now));
+    chooser.didRefuseForLoad("far", "lookup", milliseconds(400), now);
+    EXPECT_TRUE(chooser.chooseFor(service, { "lookup", milliseconds(60), 100 }, {}, now, source))
+        << "a refusal of a small request costs little, and one of a look-up fails the run that made it";
+}
+
+TEST(ExpectedFinish, OffersAFarTargetAgainWhenItsLoadHasFallenOrAfterAWhile)
+{
+    auto chooser = makeChooser();
+    auto const service = makeService({ { "far", "b" } });
+    call_demand const reservation { "reservation", milliseconds(250), 9000, 4000 };
+    generator source(1);
+    report(chooser, "far", "reservation", milliseconds(80), 3000);
+    chooser.didRefuseForLoad("far", "reservation", milliseconds(400), now);
+    EXPECT_TRUE(chooser.chooseFor(service, reservation, {}, now + milliseconds(600), source));
+    report(chooser, "far", "lookup", milliseconds(10), 1500);
+    EXPECT_TRUE(chooser.chooseFor(service, reservation, {}, now + milliseconds(100), source));
+}
+
+TEST(ExpectedFinish, OffersATargetOfTheOwnZoneWhatItHasRefused)
+{
+    auto chooser = makeChooser();
+    auto const service = makeService({ { "near", "a" } });
+    report(chooser, "near", "reservation", milliseconds(80), 3000);
+    chooser.didRefuseForLoad("near", "reservation", milliseconds(400), now);
+    EXPECT_EQ(choose(chooser, service, { "reservation", milliseconds(250), 9000, 4000 }), "near");
+}
+
 } // namespace merlinpier
