Meta: Play a randomized fault soak on real processes

Daemons and targets run as processes of their own, each on an IP number of its own; relays, the store's stand-in and the callers are in the soak's process.

--- /dev/null
+++ b/Meta/soak/clients.py
@@ -0,0 +1,138 @@
+"""Callers: each keeps its connections open and in use until the process at the other end is gone."""
+
+import asyncio
+import hashlib
+import time
+
+from fleet import PORTS, SERVICES
+from worker import signature
+
+# Callers come back after a refusal for at most this share of the time they allow.
+READ_LIMIT = 1 << 20
+DEADLINE_S = 2.0
+PATIENCE_S = 0.5
+READINESS_PERIOD_S = 0.5
+PROBE_PERIOD_S = 0.4
+
+
+async def read_answer(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = {name.strip().lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:])}
+    body = await reader.readexactly(int(headers["content-length"]))
+    return int(head[0].split(" ")[1]), headers, body
+
+
+class Connection:
+    """One connection of a caller to the daemon of its VM."""
+
+    def __init__(self, vm):
+        self.vm = vm
+        self.reader = None
+        self.writer = None
+
+    async def open(self):
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(
+                self.vm.ip, PORTS["outbound"], limit=READ_LIMIT)
+
+    def close(self):
+        if self.writer:
+            self.writer.close()
+        self.reader = self.writer = None
+
+    async def exchange(self, request):
+        """Returns status, headers and body; raises if the connection ends first."""
+        self.writer.write(request)
+        await self.writer.drain()
+        status, headers, body = await read_answer(self.reader)
+        if headers.get("connection", "").lower() == "close":
+            self.close()
+        return status, headers, body
+
+
+class Caller:
+    def __init__(self, soak, vm, seeded):
+        self.soak = soak
+        self.history = soak.history
+        self.vm = vm
+        self.seeded = seeded
+        self.connection = Connection(vm)
+
+    async def run(self):
+        while not self.soak.is_over:
+            if not self.vm.is_ready:
+                await asyncio.sleep(0.05)
+                continue
+            await self.call(*self.choose())
+            await asyncio.sleep(self.seeded.expovariate(1 / self.soak.options.pause))
+
+    def choose(self):
+        service = self.seeded.choice(SERVICES)
+        number = self.seeded.randrange(1 << 30)
+        if self.seeded.random() < 0.15:
+            return "GET", "moved.example", f"/moved/{number}", True, set(SERVICES), b""
+        if self.seeded.random() < 0.3:
+            body = self.seeded.randbytes(self.seeded.choice([10, 5000]))
+            return "POST", f"{service}.example", f"/book/{number}", False, {service}, body
+        return "GET", f"{service}.example", f"/read/{number}", True, {service}, b""
+
+    async def call(self, method, host, target, idempotent, services, body):
+        try:
+            await self.connection.open()
+        except OSError:
+            await asyncio.sleep(0.1)
+            return None
+        attempt = f"{self.seeded.getrandbits(64):016x}"
+        allowed = self.seeded.uniform(0.85, 1) * DEADLINE_S
+        sent = {"at": time.time(), "vm": self.vm.name, "method": method, "target": target, "idempotent": idempotent,
+                "services": services, "deadline": allowed, "caller": self.vm.service,
+                "body": hashlib.sha256(body).hexdigest()}
+        self.history.sent[attempt] = sent
+        request = (f"{method} {target} HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {attempt}\r\n"
+                   f"Deadline-Ms: {int(allowed * 1000)}\r\nCaller-Service: forged\r\n"
+                   f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+        outcome = {"status": None, "valid": False, "is_cut": False}
+        try:
+            status, headers, content = await asyncio.wait_for(self.connection.exchange(request), allowed + PATIENCE_S)
+            signed = signature(self.soak.secret, attempt, status, content)
+            outcome.update(status=status, valid=headers.get("response-signature") == signed)
+            outcome["retry_after"] = headers.get("retry-after")
+        except asyncio.TimeoutError:
+            outcome["late"] = True
+            self.connection.close()
+        except (asyncio.IncompleteReadError, ConnectionError, OSError, ValueError, KeyError) as ended:
+            outcome.update(is_cut=True, error=repr(ended)[:80])
+            self.connection.close()
+        outcome["at"] = time.time()
+        self.history.outcomes[attempt] = outcome
+        return outcome
+
+
+class Prober(Caller):
+    """Asks each daemon for what only newer versions have, and polls its readiness as the platform does."""
+
+    async def run(self):
+        misses = 2
+        while not self.soak.is_over:
+            misses = 0 if await self.is_ready() else misses + 1
+            self.vm.is_ready = misses < 2
+            if self.history.versions:
+                await self.probe(self.seeded.choice(self.history.versions[-3:])[1])
+            await asyncio.sleep(PROBE_PERIOD_S)
+
+    async def probe(self, number):
+        incarnation = self.vm.incarnation
+        outcome = await self.call("GET", "versions.example", f"/since-{number}/x", True, {SERVICES[0]}, b"")
+        if outcome and self.vm.incarnation == incarnation:
+            self.history.probes.append((outcome["at"], self.vm.name, incarnation, number, outcome["status"]))
+
+    async def is_ready(self):
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(self.vm.ip, PORTS["ready_address"]), READINESS_PERIOD_S)
+            writer.write(b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), READINESS_PERIOD_S)
+            writer.close()
+            return b" 200 " in line
+        except (OSError, asyncio.TimeoutError):
+            return False
--- /dev/null
+++ b/Meta/soak/plan.py
@@ -0,0 +1,29 @@
+"""Draws the faults of a run from its seed."""
+
+KINDS = ("kill", "herd_kill", "stop", "roll", "pause", "target_kill", "target_leave", "target_pause", "reset", "delay",
+         "silent", "silent_in", "silent_out", "store", "store_some", "store_forgets", "change", "storm", "hang_up")
+# Work that operators plan; the rest is harm.
+PLANNED = ("stop", "roll", "target_leave", "change", "storm", "hang_up")
+STORE_MODES = ("silent", "busy", "reset", "lost", "slow")
+# Seeds divisible by this play planned work alone, so that what it cuts shows.
+PLANNED_ONLY_EVERY = 4
+
+
+def draw(seeded, seed, duration, vms, kinds):
+    """Returns the faults in order: dictionaries with at, kind, vms, for_s and more. They overlap and come in series."""
+    allowed = [kind for kind in KINDS if not kinds or kind in kinds]
+    if seed % PLANNED_ONLY_EVERY == 0 and not kinds:
+        allowed = list(PLANNED)
+    faults = []
+    at = 1.0
+    while at < duration and allowed:
+        kind = seeded.choice(allowed)
+        count = seeded.randint(1, max(1, len(vms) // 4))
+        if kind == "herd_kill":
+            count = seeded.randint(len(vms) // 2, len(vms))
+        # The same VM is struck again now and then, while it is still recovering.
+        victims = faults[-1]["vms"] if faults and seeded.random() < 0.2 else seeded.sample(vms, count)
+        faults.append({"at": at, "kind": kind, "vms": victims, "for_s": round(seeded.uniform(0.3, 3.0), 2),
+                       "mode": seeded.choice(STORE_MODES), "gap_s": round(seeded.uniform(0.05, 0.6), 2)})
+        at += seeded.choice([0.05, 0.4, 1.0, 2.5]) * seeded.uniform(0.5, 1.5)
+    return faults
--- a/Services/Sidecar/main.cpp
+++ b/Services/Sidecar/main.cpp
@@ -18,6 +18,7 @@
 #include <platform/worker_dialect.h>
 #include <platform/worker_front.h>
 #include <sstream>
+#include <utility>
 
 namespace merlinpier {
 
@@ -131,8 +132,10 @@
             logWarning("settings_refused", { { "path", path }, { "reason", read.failure().text() } });
             return;
         }
+        auto const advertisedAddress = std::exchange(m_settings.advertisedAddress, {});
         logInfo("settings_reloaded", { { "path", path }, { "changed", read.value() == m_settings ? "no" : "yes" } });
         m_settings = read.value();
+        m_settings.advertisedAddress = advertisedAddress;
     }
 
     // Ends the process when every answer has been written, or when it would be killed otherwise.
@@ -200,8 +203,14 @@
     app.set_version_flag("--version", MERLINPIER_VERSION);
     std::uint16_t metricsPort = 9464;
     bool checkOnly = false;
+    std::string advertisedAddress;
     app.add_option("--metrics-port", metricsPort, "port for /metrics, /state and the operators' requests")
         ->check(CLI::Range(1, 65535));
+    app.add_option("--advertise", advertisedAddress, "address by which other daemons reach this one, if not its own")
+        ->check([](std::string const& text) {
+            auto const parsed = parseEndpoint(text);
+            return parsed.isError() ? parsed.failure().text() : std::string();
+        });
     app.add_flag("--check-settings", checkOnly, "check the settings, print what is wrong with them and end");
     try {
         app.parse(argumentCount, arguments);
@@ -219,7 +228,9 @@
         std::cout << "settings are good\n";
         return 0;
     }
-    return serve(std::move(content), settings.releaseValue(), metricsPort);
+    auto read = settings.releaseValue();
+    read.advertisedAddress = advertisedAddress;
+    return serve(std::move(content), std::move(read), metricsPort);
 }
 
 } // namespace
