LibRouting, LibCalls: Count the calls of retried runs as retries

A daemon that had just started took itself for the only one and had the whole minimum. Change: the frame of a call says whether it is a retry; a daemon charges the calls of its target to the budget by the share of the target's runs that are retries. A target's failure right after a call of its own failed is marked and not retried. Answers carry the share of a target's runs that fail, and ExpectedFinish weighs it. The costs that ExpectedFinish weighs are options of the command line. Also: the record of a leaving target names its incarnation, so that the next process of its daemon does not use it again.

--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -74,7 +74,7 @@
     }
     record.policy = *policy;
     setDeadlineAndObjective(record, now);
-    m_budgets.didStartCall(record.request.service, now);
+    m_budgets.didStartCall(record.request.service, record.request.retriedShare, now);
     if (record.deadline <= now)
         complete(record, notRun(refusal_reason::DeadlineTooShort, minimumRetryAfterMs), out);
     else
@@ -321,6 +321,7 @@
         = record.policy.latencyObjective > milliseconds(0) && !record.isLate && record.objective > now;
     call.objectiveMs = hasObjective ? static_cast<std::uint32_t>(toMilliseconds(record.objective - now)) : 0;
     call.isLate = record.isLate;
+    call.isRetry = record.arrivals > 1;
     return call;
 }
 
@@ -331,6 +332,8 @@
         m_outstanding.erase(attempt.target.address);
     m_chooser.didEnd(attempt.target.id, ending.outcome, ending.loadPermille, now);
     m_chooser.didReportServiceTime(attempt.target.id, record.policy.name, microseconds(ending.serviceUs));
+    if (ending.failurePermille)
+        m_chooser.didReportFailures(attempt.target.id, *ending.failurePermille, now);
     m_attempts.erase(attempt.id);
     record.attempt.reset();
 }
--- a/Libraries/LibCalls/call_client_retries.cpp
+++ b/Libraries/LibCalls/call_client_retries.cpp
@@ -7,12 +7,6 @@
 
 namespace merlinpier {
 
-namespace {
-
-constexpr std::uint32_t firstFailureStatus = 500;
-
-} // namespace
-
 bool call_client::hasAttemptsLeft(call_record const& record, time_point now) const
 {
     auto const allowed = record.policy.maximumAttempts;
@@ -124,7 +118,9 @@
 bool call_client::retryFailure(
     call_record& record, call_answered const& answered, time_point now, generator& random, actions& out)
 {
-    bool const isFailure = answered.answer.status >= firstFailureStatus;
+    bool const isFailure = isFailureStatus(answered.answer.status);
+    if (answered.answer.isInnerFailure)
+        return false;
     if (!m_settings.retriesFailures || !isFailure || !record.policy.isIdempotent || !hasAttemptsLeft(record, now))
         return false;
     record.tried.insert(answered.target);
--- a/Libraries/LibCalls/call_ledger.cpp
+++ b/Libraries/LibCalls/call_ledger.cpp
@@ -102,6 +102,12 @@
     });
 }
 
+std::size_t call_ledger::runningRetries() const
+{
+    return std::count_if(m_entries.begin(), m_entries.end(),
+        [](auto const& item) { return item.second.state == run_state::Running && item.second.call.isRetry; });
+}
+
 void call_ledger::dropAnswer(ledger_entry& entry)
 {
     if (!entry.answer)
--- a/Libraries/LibCalls/call_ledger.h
+++ b/Libraries/LibCalls/call_ledger.h
@@ -62,6 +62,8 @@
     std::size_t size() const { return m_entries.size(); }
     // Number of calls that are running, queued, or have an unacknowledged answer.
     std::size_t unsettled() const;
+    // Number of running calls that are retries.
+    std::size_t runningRetries() const;
     std::size_t answerBytes() const { return m_answerBytes; }
 
 private:
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -3,6 +3,7 @@
 #include <LibCalls/admission_queue.h>
 #include <LibCalls/attempt_identifier.h>
 #include <LibCalls/call_ledger.h>
+#include <LibCalls/failure_rate.h>
 #include <LibCalls/generation_fence.h>
 #include <LibCalls/local_targets.h>
 #include <LibCore/time.h>
@@ -96,6 +97,9 @@
     std::vector<server_action> didRefuse(std::string const& id, refusal_reason, time_point now);
     // The request may have run; the target was lost before its answer was complete.
     std::vector<server_action> didLose(std::string const& id, time_point now);
+    // A call that a target of this VM made has failed; a run that reports a failure soon after has failed because of
+    // it.
+    void didFailInnerCall(time_point now) { m_lastInnerFailure = now; }
     // The target accepts no new work: its queued calls are refused, so that they can run elsewhere.
     std::vector<server_action> didStartDraining(std::string const& target, time_point now);
     // Refuses queued calls that can no longer meet their deadline, starts others in free slots, and drops ledger
@@ -103,6 +107,8 @@
     std::vector<server_action> tick(time_point now);
 
     std::size_t running() const;
+    // The share of the running calls that are retries; 0 if none runs.
+    double retriedShare() const;
     std::size_t queued() const;
     // Number of calls that are running, queued, or have an unacknowledged answer; a planned stop waits until it is 0.
     std::size_t unsettled() const;
@@ -126,12 +132,16 @@
     call_status statusOf(call_origin const&, std::string const& attempt, time_point now);
     std::uint32_t loadOf(std::string const& target) const;
     std::uint32_t serviceUsOf(call_request const&) const;
+    std::uint32_t failurePermilleOf(std::string const& target) const;
 
     call_server_settings m_settings;
     call_ledger m_ledger;
     generation_fence m_fence;
     std::map<std::string, admission_queue> m_queues;
+    // By target.
+    std::map<std::string, failure_rate> m_failureRates;
     std::uint64_t m_version { 0 };
+    std::optional<time_point> m_lastInnerFailure;
 };
 
 } // namespace merlinpier
--- a/Libraries/LibCalls/caller_request.h
+++ b/Libraries/LibCalls/caller_request.h
@@ -26,6 +26,11 @@
     // serving. The policy's timeout is its upper limit, and its default if the caller gives none.
     std::optional<milliseconds> remaining;
     std::uint32_t hops { 0 };
+    // Whether the target of this VM may have made the call.
+    bool mayBeInner { false };
+    // For a call by the target of this VM: the share of that target's runs that are retries of other calls. Calls that
+    // a retried run makes count as retries.
+    double retriedShare { 0 };
     // Policy of the route, if it has one; otherwise the policy of the service's entry point applies.
     std::optional<call_policy> policy;
 
--- a/Libraries/LibCalls/local_targets.cpp
+++ b/Libraries/LibCalls/local_targets.cpp
@@ -54,8 +54,7 @@
 {
     TRY(check(given));
     auto announcement = given;
-    if (auto const departed = m_earlyDepartures.find(given.id);
-        departed != m_earlyDepartures.end() && now - departed->second < departureRetention)
+    if (hasDepartedEarly(given, now))
         announcement.state = target_state::Draining;
     if (isOutdated(announcement))
         return empty {};
@@ -135,7 +134,7 @@
         isKnown = true;
     }
     if (!isKnown)
-        m_earlyDepartures[id] = now;
+        m_earlyDepartures[id] = { .at = now };
     auto const found = m_entries.find(id);
     if (found == m_entries.end())
         return unknownTargetError(id);
@@ -143,6 +142,28 @@
     return empty {};
 }
 
+void local_targets::didDepartBefore(std::string const& id, std::uint64_t startedAt, time_point now)
+{
+    auto const known = m_earlyDepartures.find(id);
+    if (known != m_earlyDepartures.end() && known->second.startedAt >= startedAt)
+        return;
+    m_earlyDepartures[id] = { startedAt, now };
+    auto const found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.announcement.startedAt > startedAt)
+        return;
+    m_incarnations[found->second.announcement.licence].isLeaving = true;
+    found->second.drain();
+}
+
+bool local_targets::hasDepartedEarly(target_announcement const& announcement, time_point now) const
+{
+    auto const departed = m_earlyDepartures.find(announcement.id);
+    if (departed == m_earlyDepartures.end() || now - departed->second.at >= departureRetention)
+        return false;
+    auto const startedAt = departed->second.startedAt;
+    return startedAt == 0 || announcement.startedAt <= startedAt;
+}
+
 result<empty> local_targets::leave(std::string const& id, time_point)
 {
     if (m_entries.erase(id) == 0)
@@ -159,7 +180,7 @@
 void local_targets::tick(time_point now)
 {
     std::erase_if(m_entries, [&](auto const& item) { return now >= item.second.leaseUntil; });
-    std::erase_if(m_earlyDepartures, [&](auto const& item) { return now - item.second >= departureRetention; });
+    std::erase_if(m_earlyDepartures, [&](auto const& item) { return now - item.second.at >= departureRetention; });
 }
 
 void local_targets::didLoseClaim(std::string const& licence, std::uint64_t claim)
@@ -187,7 +208,10 @@
         bool const isConfigured = service != configuration.services().end();
         std::uint32_t const configured = isConfigured ? service->second.answers.slotsPerCopy : 0;
         std::uint32_t const slots = configured > 0 ? configured : target.slots;
-        records.push_back({ id, target.service, target.licence, entry.claim, target.state, slots });
+        auto const incarnation = m_incarnations.find(target.licence);
+        bool const isDeparting = incarnation != m_incarnations.end() && incarnation->second.isLeaving;
+        records.push_back({ id, target.service, target.licence, entry.claim, target.state, slots,
+            isDeparting ? target.startedAt : 0 });
     }
     return records;
 }
--- a/Libraries/LibCalls/local_targets.h
+++ b/Libraries/LibCalls/local_targets.h
@@ -48,6 +48,9 @@
     // If the target is not known yet, as after a restart of the daemon, it starts out draining when it announces
     // itself.
     result<empty> retire(std::string const& id, time_point now);
+    // An earlier process of this daemon has acknowledged that the target's incarnation with this start time is leaving.
+    // It gets no new calls, whatever announcement of it arrives late.
+    void didDepartBefore(std::string const& id, std::uint64_t startedAt, time_point now);
     void drainAll(time_point now);
     // Removes announcements whose lease has expired.
     void tick(time_point now);
@@ -79,6 +82,13 @@
         bool isLeaving { false };
     };
 
+    // A target that was retired before it was known here. The start time is 0 if the incarnation is not known.
+    struct early_departure {
+        std::uint64_t startedAt { 0 };
+        time_point at {};
+    };
+
+    bool hasDepartedEarly(target_announcement const&, time_point now) const;
     // Whether a newer announcement of the copy with this licence is known, or the copy has left.
     bool isOutdated(target_announcement const&) const;
     void recordIncarnation(target_announcement const&);
@@ -86,8 +96,8 @@
     milliseconds m_lease;
     std::map<std::string, entry> m_entries;
     std::map<std::string, target_incarnation> m_incarnations;
-    // Targets that were retired before they were known here, with the time of retirement.
-    std::map<std::string, time_point> m_earlyDepartures;
+    // By the target's id.
+    std::map<std::string, early_departure> m_earlyDepartures;
 };
 
 } // namespace merlinpier
--- a/Libraries/LibCalls/refusal_rules.cpp
+++ b/Libraries/LibCalls/refusal_rules.cpp
@@ -51,4 +51,10 @@
         || reason == refusal_reason::StaleGeneration;
 }
 
+bool isFailureStatus(std::uint32_t status)
+{
+    constexpr std::uint32_t firstServerError = 500;
+    return status >= firstServerError;
+}
+
 } // namespace merlinpier
--- a/Libraries/LibCalls/refusal_rules.h
+++ b/Libraries/LibCalls/refusal_rules.h
@@ -21,4 +21,7 @@
 // after them need no budget.
 bool isStaleRouteRefusal(refusal_reason);
 
+// Whether an answer with this HTTP status reports a failure of the target.
+bool isFailureStatus(std::uint32_t status);
+
 } // namespace merlinpier
--- a/Libraries/LibMembership/member_updates.cpp
+++ b/Libraries/LibMembership/member_updates.cpp
@@ -64,6 +64,13 @@
     m_appliedBefore = std::max(m_appliedBefore, record.appliedVersion);
     m_self.appliedVersion = std::max(m_self.appliedVersion, record.appliedVersion);
     m_table.merge(appliedVersionOnly(m_self.vm, m_self.appliedVersion));
+    bool const isOfEarlierProcess = record.instance != m_self.instance;
+    for (auto const& target : record.targets) {
+        bool const isKnown
+            = std::find(m_departedBefore.begin(), m_departedBefore.end(), target) != m_departedBefore.end();
+        if (isOfEarlierProcess && target.departedStart > 0 && !isKnown)
+            m_departedBefore.push_back(target);
+    }
     if (record.incarnation < m_self.incarnation || !supersedes(record, m_self))
         return false;
     m_self.incarnation = record.incarnation + 1;
--- a/Libraries/LibMembership/membership_table.cpp
+++ b/Libraries/LibMembership/membership_table.cpp
@@ -28,6 +28,7 @@
     appendNumber(bytes, target.claim);
     appendNumber(bytes, static_cast<std::uint64_t>(target.state));
     appendNumber(bytes, target.slots);
+    appendNumber(bytes, target.departedStart);
 }
 
 // Hashes all fields that are ordered by incarnation and sequence, which excludes the applied version.
--- a/Libraries/LibRouting/retry_budgets.cpp
+++ b/Libraries/LibRouting/retry_budgets.cpp
@@ -28,12 +28,14 @@
 
 void retry_budgets::setDaemons(std::size_t daemons) { m_daemons = std::max(m_daemons, daemons); }
 
-void retry_budgets::didStartCall(std::string const& service, time_point now)
+void retry_budgets::didStartCall(std::string const& service, double retriedShare, time_point now)
 {
     if (auto const budget = m_localBudgets.find(service); budget != m_localBudgets.end())
         budget->second.didStartCall(now);
-    if (auto const part = m_sharedBudgetParts.find(service); part != m_sharedBudgetParts.end())
+    if (auto const part = m_sharedBudgetParts.find(service); part != m_sharedBudgetParts.end()) {
         part->second.didStartCall(now);
+        part->second.didRepeat(retriedShare, now);
+    }
 }
 
 bool retry_budgets::tryTake(std::string const& service, time_point now)
--- a/Libraries/LibRouting/retry_budgets.h
+++ b/Libraries/LibRouting/retry_budgets.h
@@ -21,16 +21,17 @@
 
     // Applies the retry shares of the snapshot's services. Local budgets of services that are not in it are dropped.
     void setSnapshot(routing_snapshot const&);
-    // Sets how many daemons share the budgets. Only a number above all earlier ones has an effect: daemons that this
-    // one cannot reach still spend their parts.
+    // Sets how many daemons share the budgets; until then the number is unknown. Only a number above all earlier ones
+    // has an effect: daemons that this one cannot reach still spend their parts.
     void setDaemons(std::size_t);
-    void didStartCall(std::string const& service, time_point now);
+    // Counts a new call. The retried share is the probability that it is made by a run that is itself a retry.
+    void didStartCall(std::string const& service, double retriedShare, time_point now);
     // Spends one retry of the service's budget; returns false if the budget allows none or the service is unknown.
     bool tryTake(std::string const& service, time_point now);
 
 private:
     std::optional<shared_budget_settings> m_shared;
-    std::size_t m_daemons { 1 };
+    std::size_t m_daemons { 0 };
     std::map<std::string, retry_budget> m_localBudgets;
     std::map<std::string, windowed_retry_budget> m_sharedBudgetParts;
 };
--- a/Libraries/LibRouting/windowed_retry_budget.cpp
+++ b/Libraries/LibRouting/windowed_retry_budget.cpp
@@ -1,13 +1,13 @@
 #include <LibRouting/windowed_retry_budget.h>
 
-#include <algorithm>
-
 namespace merlinpier {
 
 namespace {
 
-// The part of the budget that is spent; the class comment says why the rest is held in reserve.
-constexpr double spendableShare = 0.5;
+// The parts of the budget that are spent in the first window after the start and later. If all daemons restart in the
+// middle of a window, both are spent in it, so they add up to 1.
+constexpr double firstWindowShare = 0.4;
+constexpr double spendableShare = 0.6;
 
 } // namespace
 
@@ -28,17 +28,24 @@
     auto const number = bucketNumber(now);
     auto& found = m_buckets[static_cast<std::size_t>(number) % m_buckets.size()];
     if (found.number != number)
-        found = { number, 0, 0 };
+        found = { .number = number };
     return found;
 }
 
-void windowed_retry_budget::didStartCall(time_point now) { ++bucketAt(now).calls; }
+void windowed_retry_budget::didStartCall(time_point now)
+{
+    if (!m_firstCallAt)
+        m_firstCallAt = now;
+    ++bucketAt(now).calls;
+}
+
+void windowed_retry_budget::didRepeat(double calls, time_point now) { bucketAt(now).retries += calls; }
 
 bool windowed_retry_budget::tryTake(time_point now)
 {
     auto& current = bucketAt(now);
     std::uint32_t calls = 0;
-    std::uint32_t retries = 0;
+    double retries = 0;
     for (auto const& counted : m_buckets) {
         auto const age = current.number - counted.number;
         if (counted.number < 0 || age > static_cast<std::int64_t>(bucketsPerWindow))
@@ -46,9 +53,11 @@
         retries += counted.retries;
         calls += age < static_cast<std::int64_t>(bucketsPerWindow) ? counted.calls : 0;
     }
-    double const floor
-        = static_cast<double>(m_settings.minimumRetries) / static_cast<double>(std::max<std::size_t>(1, m_daemons));
-    double const allowed = spendableShare * (m_settings.retriesPerCall * calls + floor);
+    double const minimum
+        = m_daemons > 0 ? static_cast<double>(m_settings.minimumRetries) / static_cast<double>(m_daemons) : 0;
+    bool const isFirstWindow = !m_firstCallAt || now - *m_firstCallAt < m_settings.window;
+    double const share = isFirstWindow ? firstWindowShare : spendableShare;
+    double const allowed = share * (m_settings.retriesPerCall * calls + minimum);
     if (retries + 1 > allowed)
         return false;
     ++current.retries;
--- a/Libraries/LibWire/call_codec.cpp
+++ b/Libraries/LibWire/call_codec.cpp
@@ -51,7 +51,7 @@
     auto const callClass = static_cast<wire::CallClass>(value.callClass);
     return wire::CreateCall(builder, id, value.instance, value.generation, service, target, entryPoint, method, path,
         headers, body, callClass, value.isIdempotent, value.remainingMs, value.hops, value.version, caller,
-        value.priority, value.onlyIfFree, value.objectiveMs, value.isLate);
+        value.priority, value.onlyIfFree, value.objectiveMs, value.isLate, value.isRetry);
 }
 
 flatbuffers::Offset<wire::CallAnswer> encode(flatbuffers::FlatBufferBuilder& builder, call_answer const& value)
@@ -59,16 +59,16 @@
     auto const body = writeBytes(builder, value.body);
     auto const id = writeText(builder, value.id);
     auto const headers = writeList(builder, value.headers, encodeHeader);
-    return wire::CreateCallAnswer(
-        builder, id, value.status, headers, body, value.loadPermille, value.version, value.serviceUs);
+    return wire::CreateCallAnswer(builder, id, value.status, headers, body, value.loadPermille, value.version,
+        value.serviceUs, value.failurePermille, value.isInnerFailure);
 }
 
 flatbuffers::Offset<wire::CallRefused> encode(flatbuffers::FlatBufferBuilder& builder, call_refused const& value)
 {
     auto const id = writeText(builder, value.id);
     auto const reason = static_cast<wire::Refusal>(value.reason);
-    return wire::CreateCallRefused(
-        builder, id, reason, value.retryAfterMs, value.loadPermille, value.version, value.serviceUs);
+    return wire::CreateCallRefused(builder, id, reason, value.retryAfterMs, value.loadPermille, value.version,
+        value.serviceUs, value.failurePermille);
 }
 
 flatbuffers::Offset<wire::CallLost> encode(flatbuffers::FlatBufferBuilder& builder, call_lost const& value)
@@ -124,6 +124,7 @@
         .objectiveMs = table.objective_ms(),
         .onlyIfFree = table.only_if_free(),
         .isLate = table.is_late(),
+        .isRetry = table.is_retry(),
     };
 }
 
@@ -137,6 +138,8 @@
         .loadPermille = table.load_permille(),
         .version = table.version(),
         .serviceUs = table.service_us(),
+        .failurePermille = table.failure_permille(),
+        .isInnerFailure = table.inner_failure(),
     };
 }
 
@@ -149,6 +152,7 @@
         .loadPermille = table.load_permille(),
         .version = table.version(),
         .serviceUs = table.service_us(),
+        .failurePermille = table.failure_permille(),
     };
 }
 
--- a/Libraries/LibWire/frames_generated.h
+++ b/Libraries/LibWire/frames_generated.h
@@ -569,7 +569,8 @@
     VT_LICENCE = 8,
     VT_CLAIM = 10,
     VT_STATE = 12,
-    VT_SLOTS = 14
+    VT_SLOTS = 14,
+    VT_DEPARTED_START = 16
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -589,6 +590,9 @@
   uint32_t slots() const {
     return GetField<uint32_t>(VT_SLOTS, 0);
   }
+  uint64_t departed_start() const {
+    return GetField<uint64_t>(VT_DEPARTED_START, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -600,6 +604,7 @@
            VerifyField<uint64_t>(verifier, VT_CLAIM, 8) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_DEPARTED_START, 8) &&
            verifier.EndTable();
   }
 };
@@ -626,6 +631,9 @@
   void add_slots(uint32_t slots) {
     fbb_.AddElement<uint32_t>(TargetRecord::VT_SLOTS, slots, 0);
   }
+  void add_departed_start(uint64_t departed_start) {
+    fbb_.AddElement<uint64_t>(TargetRecord::VT_DEPARTED_START, departed_start, 0);
+  }
   explicit TargetRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -644,8 +652,10 @@
     flatbuffers::Offset<flatbuffers::String> licence = 0,
     uint64_t claim = 0,
     merlinpier::wire::TargetState state = merlinpier::wire::TargetState::Starting,
-    uint32_t slots = 0) {
+    uint32_t slots = 0,
+    uint64_t departed_start = 0) {
   TargetRecordBuilder builder_(_fbb);
+  builder_.add_departed_start(departed_start);
   builder_.add_claim(claim);
   builder_.add_slots(slots);
   builder_.add_licence(licence);
@@ -667,7 +677,8 @@
     const char *licence = nullptr,
     uint64_t claim = 0,
     merlinpier::wire::TargetState state = merlinpier::wire::TargetState::Starting,
-    uint32_t slots = 0) {
+    uint32_t slots = 0,
+    uint64_t departed_start = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto licence__ = licence ? _fbb.CreateString(licence) : 0;
@@ -678,7 +689,8 @@
       licence__,
       claim,
       state,
-      slots);
+      slots,
+      departed_start);
 }
 
 struct MemberRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1869,7 +1881,8 @@
     VT_PRIORITY = 36,
     VT_ONLY_IF_FREE = 38,
     VT_OBJECTIVE_MS = 40,
-    VT_IS_LATE = 42
+    VT_IS_LATE = 42,
+    VT_IS_RETRY = 44
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1931,6 +1944,9 @@
   bool is_late() const {
     return GetField<uint8_t>(VT_IS_LATE, 0) != 0;
   }
+  bool is_retry() const {
+    return GetField<uint8_t>(VT_IS_RETRY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1963,6 +1979,7 @@
            VerifyField<uint8_t>(verifier, VT_ONLY_IF_FREE, 1) &&
            VerifyField<uint32_t>(verifier, VT_OBJECTIVE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_IS_LATE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_RETRY, 1) &&
            verifier.EndTable();
   }
 };
@@ -2031,6 +2048,9 @@
   void add_is_late(bool is_late) {
     fbb_.AddElement<uint8_t>(Call::VT_IS_LATE, static_cast<uint8_t>(is_late), 0);
   }
+  void add_is_retry(bool is_retry) {
+    fbb_.AddElement<uint8_t>(Call::VT_IS_RETRY, static_cast<uint8_t>(is_retry), 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2063,7 +2083,8 @@
     uint32_t priority = 0,
     bool only_if_free = false,
     uint32_t objective_ms = 0,
-    bool is_late = false) {
+    bool is_late = false,
+    bool is_retry = false) {
   CallBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_generation(generation);
@@ -2081,6 +2102,7 @@
   builder_.add_target(target);
   builder_.add_service(service);
   builder_.add_id(id);
+  builder_.add_is_retry(is_retry);
   builder_.add_is_late(is_late);
   builder_.add_only_if_free(only_if_free);
   builder_.add_is_idempotent(is_idempotent);
@@ -2114,7 +2136,8 @@
     uint32_t priority = 0,
     bool only_if_free = false,
     uint32_t objective_ms = 0,
-    bool is_late = false) {
+    bool is_late = false,
+    bool is_retry = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -2145,7 +2168,8 @@
       priority,
       only_if_free,
       objective_ms,
-      is_late);
+      is_late,
+      is_retry);
 }
 
 struct CallAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2158,7 +2182,9 @@
     VT_BODY = 10,
     VT_LOAD_PERMILLE = 12,
     VT_VERSION = 14,
-    VT_SERVICE_US = 16
+    VT_SERVICE_US = 16,
+    VT_FAILURE_PERMILLE = 18,
+    VT_INNER_FAILURE = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2181,6 +2207,12 @@
   uint32_t service_us() const {
     return GetField<uint32_t>(VT_SERVICE_US, 0);
   }
+  uint32_t failure_permille() const {
+    return GetField<uint32_t>(VT_FAILURE_PERMILLE, 0);
+  }
+  bool inner_failure() const {
+    return GetField<uint8_t>(VT_INNER_FAILURE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2194,6 +2226,8 @@
            VerifyField<uint32_t>(verifier, VT_LOAD_PERMILLE, 4) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_SERVICE_US, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILURE_PERMILLE, 4) &&
+           VerifyField<uint8_t>(verifier, VT_INNER_FAILURE, 1) &&
            verifier.EndTable();
   }
 };
@@ -2223,6 +2257,12 @@
   void add_service_us(uint32_t service_us) {
     fbb_.AddElement<uint32_t>(CallAnswer::VT_SERVICE_US, service_us, 0);
   }
+  void add_failure_permille(uint32_t failure_permille) {
+    fbb_.AddElement<uint32_t>(CallAnswer::VT_FAILURE_PERMILLE, failure_permille, 0);
+  }
+  void add_inner_failure(bool inner_failure) {
+    fbb_.AddElement<uint8_t>(CallAnswer::VT_INNER_FAILURE, static_cast<uint8_t>(inner_failure), 0);
+  }
   explicit CallAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2242,15 +2282,19 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     uint32_t load_permille = 0,
     uint64_t version = 0,
-    uint32_t service_us = 0) {
+    uint32_t service_us = 0,
+    uint32_t failure_permille = 0,
+    bool inner_failure = false) {
   CallAnswerBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_failure_permille(failure_permille);
   builder_.add_service_us(service_us);
   builder_.add_load_permille(load_permille);
   builder_.add_body(body);
   builder_.add_headers(headers);
   builder_.add_status(status);
   builder_.add_id(id);
+  builder_.add_inner_failure(inner_failure);
   return builder_.Finish();
 }
 
@@ -2267,7 +2311,9 @@
     const std::vector<uint8_t> *body = nullptr,
     uint32_t load_permille = 0,
     uint64_t version = 0,
-    uint32_t service_us = 0) {
+    uint32_t service_us = 0,
+    uint32_t failure_permille = 0,
+    bool inner_failure = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -2279,7 +2325,9 @@
       body__,
       load_permille,
       version,
-      service_us);
+      service_us,
+      failure_permille,
+      inner_failure);
 }
 
 struct CallRefused FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2291,7 +2339,8 @@
     VT_RETRY_AFTER_MS = 8,
     VT_LOAD_PERMILLE = 10,
     VT_VERSION = 12,
-    VT_SERVICE_US = 14
+    VT_SERVICE_US = 14,
+    VT_FAILURE_PERMILLE = 16
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2311,6 +2360,9 @@
   uint32_t service_us() const {
     return GetField<uint32_t>(VT_SERVICE_US, 0);
   }
+  uint32_t failure_permille() const {
+    return GetField<uint32_t>(VT_FAILURE_PERMILLE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2320,6 +2372,7 @@
            VerifyField<uint32_t>(verifier, VT_LOAD_PERMILLE, 4) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_SERVICE_US, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILURE_PERMILLE, 4) &&
            verifier.EndTable();
   }
 };
@@ -2346,6 +2399,9 @@
   void add_service_us(uint32_t service_us) {
     fbb_.AddElement<uint32_t>(CallRefused::VT_SERVICE_US, service_us, 0);
   }
+  void add_failure_permille(uint32_t failure_permille) {
+    fbb_.AddElement<uint32_t>(CallRefused::VT_FAILURE_PERMILLE, failure_permille, 0);
+  }
   explicit CallRefusedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2364,9 +2420,11 @@
     uint32_t retry_after_ms = 0,
     uint32_t load_permille = 0,
     uint64_t version = 0,
-    uint32_t service_us = 0) {
+    uint32_t service_us = 0,
+    uint32_t failure_permille = 0) {
   CallRefusedBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_failure_permille(failure_permille);
   builder_.add_service_us(service_us);
   builder_.add_load_permille(load_permille);
   builder_.add_retry_after_ms(retry_after_ms);
@@ -2387,7 +2445,8 @@
     uint32_t retry_after_ms = 0,
     uint32_t load_permille = 0,
     uint64_t version = 0,
-    uint32_t service_us = 0) {
+    uint32_t service_us = 0,
+    uint32_t failure_permille = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   return merlinpier::wire::CreateCallRefused(
       _fbb,
@@ -2396,7 +2455,8 @@
       retry_after_ms,
       load_permille,
       version,
-      service_us);
+      service_us,
+      failure_permille);
 }
 
 struct CallLost FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibWire/membership_codec.cpp
+++ b/Libraries/LibWire/membership_codec.cpp
@@ -11,7 +11,8 @@
     auto const service = writeText(builder, value.service);
     auto const licence = writeText(builder, value.licence);
     auto const state = static_cast<wire::TargetState>(value.state);
-    return wire::CreateTargetRecord(builder, id, service, licence, value.claim, state, value.slots);
+    return wire::CreateTargetRecord(
+        builder, id, service, licence, value.claim, state, value.slots, value.departedStart);
 }
 
 flatbuffers::Offset<wire::MemberRecord> encodeRecord(
@@ -37,6 +38,7 @@
         .claim = table.claim(),
         .state = reader.enumerator<target_state>(table.state()),
         .slots = table.slots(),
+        .departedStart = table.departed_start(),
     };
 }
 
--- a/Libraries/LibWire/membership_messages.h
+++ b/Libraries/LibWire/membership_messages.h
@@ -22,6 +22,9 @@
     std::uint64_t claim { 0 };
     target_state state { target_state::Starting };
     std::uint32_t slots { 0 };
+    // Start time of the target's incarnation if that incarnation is leaving on its own account; 0 if it is not, or is
+    // only draining because its daemon stops. Tells the daemon's next process which incarnation not to use again.
+    std::uint64_t departedStart { 0 };
 
     bool operator==(target_record const&) const = default;
 };
--- a/Services/Daemon/membership_part.h
+++ b/Services/Daemon/membership_part.h
@@ -41,6 +41,8 @@
     std::uint64_t highestClaim(std::string const& licence) const;
     // The version that this VM is known to have applied in an earlier life.
     std::uint64_t appliedBefore() const;
+    // The targets that were leaving when an earlier process of this VM's daemon last published them.
+    std::vector<target_record> const& departedBefore() const { return m_member.departedBefore(); }
     // Builds a routing snapshot of the table as it is now, and hands it on before the table can change again.
     void buildSnapshot(std::shared_ptr<configuration_set const> const&,
         std::function<void(std::shared_ptr<routing_snapshot const>)> const&) const;
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -91,6 +91,14 @@
     return empty {};
 }
 
+void target_gateway::didDepartBefore(std::vector<target_record> const& targets)
+{
+    for (auto const& target : targets)
+        m_targets.didDepartBefore(target.id, target.departedStart, currentTime());
+    if (!targets.empty())
+        reportChange();
+}
+
 void target_gateway::drainAll()
 {
     m_targets.drainAll(currentTime());
--- a/Services/Daemon/target_gateway.h
+++ b/Services/Daemon/target_gateway.h
@@ -30,6 +30,7 @@
     // The target gets no new calls, but finishes what it has.
     result<empty> retire(std::string const& id);
     result<empty> leave(std::string const& id);
+    void didDepartBefore(std::vector<target_record> const&);
     void drainAll();
     void didLoseClaim(std::string const& licence, std::uint64_t claim);
     std::vector<target_record> records() const;
@@ -39,6 +40,9 @@
     void tick();
 
     std::size_t unsettled() const;
+    std::size_t running() const { return m_server.running(); }
+    void didFailInnerCall() { m_server.didFailInnerCall(currentTime()); }
+    double retriedShare() const { return m_server.retriedShare(); }
     std::map<std::string, target_load> loads() const;
 
 private:
--- a/Services/Sidecar/main.cpp
+++ b/Services/Sidecar/main.cpp
@@ -132,10 +132,10 @@
             logWarning("settings_refused", { { "path", path }, { "reason", read.failure().text() } });
             return;
         }
-        auto const advertisedAddress = std::exchange(m_settings.advertisedAddress, {});
-        logInfo("settings_reloaded", { { "path", path }, { "changed", read.value() == m_settings ? "no" : "yes" } });
-        m_settings = read.value();
-        m_settings.advertisedAddress = advertisedAddress;
+        auto next = read.value();
+        next.commandLine = m_settings.commandLine;
+        logInfo("settings_reloaded", { { "path", path }, { "changed", next == m_settings ? "no" : "yes" } });
+        m_settings = std::move(next);
     }
 
     // Ends the process when every answer has been written, or when it would be killed otherwise.
@@ -203,14 +203,23 @@
     app.set_version_flag("--version", MERLINPIER_VERSION);
     std::uint16_t metricsPort = 9464;
     bool checkOnly = false;
-    std::string advertisedAddress;
+    platform::command_line_settings given;
     app.add_option("--metrics-port", metricsPort, "port for /metrics, /state and the operators' requests")
         ->check(CLI::Range(1, 65535));
-    app.add_option("--advertise", advertisedAddress, "address by which other daemons reach this one, if not its own")
+    app.add_option(
+           "--advertise", given.advertisedAddress, "address by which other daemons reach this one, if not its own")
         ->check([](std::string const& text) {
             auto const parsed = parseEndpoint(text);
             return parsed.isError() ? parsed.failure().text() : std::string();
         });
+    app.add_option(
+           "--lateness-cost", given.latenessCost, "loss from a late answer, as a fraction of the value of one in time")
+        ->check(CLI::Range(0.0, 1.0))
+        ->capture_default_str();
+    app.add_option("--cross-zone-cost", given.crossZoneCostPerKilobyte,
+           "cost of a kilobyte transferred between availability zones, as the same fraction")
+        ->check(CLI::Range(0.0, 10.0))
+        ->capture_default_str();
     app.add_flag("--check-settings", checkOnly, "check the settings, print what is wrong with them and end");
     try {
         app.parse(argumentCount, arguments);
@@ -229,7 +238,7 @@
         return 0;
     }
     auto read = settings.releaseValue();
-    read.advertisedAddress = advertisedAddress;
+    read.commandLine = std::move(given);
     return serve(std::move(content), std::move(read), metricsPort);
 }
 
--- a/Tests/LibCalls/local_targets_test.cpp
+++ b/Tests/LibCalls/local_targets_test.cpp
@@ -136,4 +136,52 @@
     EXPECT_EQ(targets.find("w1")->state, target_state::Draining);
 }
 
+// The daemon's process that acknowledged the departure is gone, and an announcement that was delayed on its way arrives
+// at the next one.
+TEST(LocalTargets, ATargetThatLeftBeforeARestartOfTheDaemonIsNotUsedAgain)
+{
+    auto late = makeAnnouncement();
+    late.startedAt = 500;
+    late.sequence = 3;
+    local_targets before;
+    EXPECT_FALSE(before.announce(late, 0, start).isError());
+    EXPECT_EQ(before.records(*configuration_set::createEmpty())[0].departedStart, 0u);
+    EXPECT_FALSE(before.retire("slots-1", start).isError());
+    auto const published = before.records(*configuration_set::createEmpty())[0];
+    EXPECT_EQ(published.departedStart, 500u);
+
+    local_targets after;
+    after.didDepartBefore(published.id, published.departedStart, start);
+    EXPECT_FALSE(after.announce(late, 0, start + seconds(1)).isError());
+    EXPECT_EQ(after.find("slots-1")->state, target_state::Draining);
+    auto restarted = late;
+    restarted.startedAt = 900;
+    restarted.sequence = 1;
+    EXPECT_FALSE(after.announce(restarted, 0, start + seconds(2)).isError());
+    EXPECT_EQ(after.find("slots-1")->state, target_state::Ready);
+}
+
+TEST(LocalTargets, DrainsATargetWhoseDepartureIsLearntAfterItsAnnouncement)
+{
+    auto late = makeAnnouncement();
+    late.startedAt = 500;
+    late.sequence = 3;
+    local_targets targets;
+    EXPECT_FALSE(targets.announce(late, 0, start).isError());
+    targets.didDepartBefore("slots-1", 500, start + milliseconds(50));
+    EXPECT_EQ(targets.find("slots-1")->state, target_state::Draining);
+    EXPECT_EQ(targets.records(*configuration_set::createEmpty())[0].departedStart, 500u);
+}
+
+// A planned stop of the daemon alone drains its target, which goes on once the daemon is back.
+TEST(LocalTargets, ATargetDrainedByAStopOfItsDaemonHasNotDeparted)
+{
+    auto announced = makeAnnouncement();
+    announced.startedAt = 500;
+    local_targets targets;
+    EXPECT_FALSE(targets.announce(announced, 0, start).isError());
+    targets.drainAll(start);
+    EXPECT_EQ(targets.records(*configuration_set::createEmpty())[0].departedStart, 0u);
+}
+
 } // namespace merlinpier
--- a/Tests/LibMembership/member_test.cpp
+++ b/Tests/LibMembership/member_test.cpp
@@ -324,6 +324,22 @@
     EXPECT_EQ(fleet.at("b-1").table().find("a-1")->instance, fleet.at("a-1").self().instance);
 }
 
+TEST(Member, LearnsTheDepartureOfItsTargetBeforeARestart)
+{
+    fleet fleet(9);
+    startZones(fleet, 3);
+    fleet.run(convergenceTime);
+    auto targets = oneTarget(target_state::Draining);
+    targets[0].departedStart = 500;
+    fleet.perform("a-1", fleet.at("a-1").setTargets(targets, fleet.now));
+    fleet.run(seconds(2));
+    EXPECT_TRUE(fleet.at("a-1").departedBefore().empty()) << "the process itself knows of the departure";
+    fleet.stop("a-1");
+    fleet.start("a", 1, { "b-0" });
+    fleet.run(seconds(3));
+    EXPECT_EQ(fleet.at("a-1").departedBefore(), targets);
+}
+
 TEST(Member, RefutesRecordsOfItselfWithAHigherIncarnation)
 {
     membership_settings settings;
--- a/Tests/LibWire/arbitrary_messages.h
+++ b/Tests/LibWire/arbitrary_messages.h
@@ -35,7 +35,9 @@
         .body = drawText(),
         .loadPermille = drawCount(),
         .version = drawNumber(),
-        .serviceUs = drawCount() };
+        .serviceUs = drawCount(),
+        .failurePermille = drawCount(),
+        .isInnerFailure = drawBelow(2) == 1 };
 }
 
 inline call_refused drawRefusal()
@@ -45,7 +47,8 @@
         .retryAfterMs = drawCount(),
         .loadPermille = drawCount(),
         .version = drawNumber(),
-        .serviceUs = drawCount() };
+        .serviceUs = drawCount(),
+        .failurePermille = drawCount() };
 }
 
 inline call_request drawRequest()
@@ -69,7 +72,8 @@
         .priority = drawCount(),
         .objectiveMs = drawCount(),
         .onlyIfFree = drawBelow(2) == 1,
-        .isLate = drawBelow(2) == 1 };
+        .isLate = drawBelow(2) == 1,
+        .isRetry = drawBelow(2) == 1 };
 }
 
 inline call_status drawStatus()
@@ -89,7 +93,8 @@
         .licence = drawText(),
         .claim = drawNumber(),
         .state = drawEnumerator(target_state::Gone),
-        .slots = drawCount() };
+        .slots = drawCount(),
+        .departedStart = drawNumber() };
 }
 
 inline member_record drawRecord()
