LibDistribution, LibMembership, platform: Hold through a restore of the store

Cause: the store may come back from a copy some seconds old; revisions go back and are assigned again. A head with a lower revision than the last was dropped, watches asked for a revision that the store no longer had, an older document replaced the newer one that peers may need, and lost entries were noticed only at the next listing (20 s). Change: objects carry the store's era, positions compare by era and then revision, answers of earlier eras are errors; a new era makes the configuration and the entries be read again. Relays write the lost entries of their zone's live members again; known departed daemons are no seeds. The retry budgets get the number of daemons from the listing. After a restart, departures in peers' records hold.

--- a/Libraries/LibDistribution/distribution_settings.h
+++ b/Libraries/LibDistribution/distribution_settings.h
@@ -24,6 +24,10 @@
     milliseconds peerRequestDelay { 0 };
     // Whether relays are asked before other peers that have advertised the version. Relays have the fastest links.
     bool asksRelaysFirst { false };
+    // How long a daemon that has no version yet holds back one that it has read from the platform, unless it has been
+    // in contact with a peer and no peer has advertised a newer one. A platform that was restored from a copy may show
+    // an older version than is in force on the peers.
+    milliseconds initialPeerWait { 0 };
     // Bounds of the jittered back-off after a failed platform call.
     milliseconds firstBackOff { 100 };
     milliseconds longestBackOff { 5000 };
--- a/Libraries/LibDistribution/distributor.cpp
+++ b/Libraries/LibDistribution/distributor.cpp
@@ -57,6 +57,7 @@
 std::vector<distribution_action> distributor::tick(time_point now, generator&)
 {
     actions actions;
+    applyIfComplete(actions, now);
     startDueWatch(actions, now);
     startDueReads(actions, now);
     sendDueRequest(actions, now);
@@ -67,7 +68,7 @@
 {
     if (!watches())
         return;
-    if (auto watch = m_platformCalls.nextWatch(m_headRevision, now))
+    if (auto watch = m_platformCalls.nextWatch(m_headPosition.revision, now))
         actions.emplace_back(*watch);
 }
 
@@ -94,8 +95,10 @@
     if (m_settings.mode == distribution_mode::Baseline || wanted == 0)
         return;
     bool const isPlatformSilent = watches() && m_platformCalls.silentSince();
-    // Relays push only changed fragments, so a daemon without any version must request one.
-    bool const isPushExpected = m_store.applied()->version() > 0 || watches();
+    // Relays push only changed fragments, so a daemon without any version must request one, unless it reads the
+    // platform and has not found an older version there.
+    bool const isPlatformOlder = m_head.version > 0 && m_head.version < wanted;
+    bool const isPushExpected = m_store.applied()->version() > 0 || (watches() && !isPlatformOlder);
     if (isPushExpected && !isPlatformSilent && now - *m_behindSince < m_settings.peerRequestDelay)
         return;
     bool const isPlatformReadExpected
@@ -221,7 +224,7 @@
         return actions;
     }
     m_platformCalls.didSucceed();
-    if (outcome.value() && outcome.value()->revision > m_headRevision) {
+    if (outcome.value() && positionOf(*outcome.value()) > m_headPosition) {
         m_platformCalls.didObserveChange(now);
         didReceiveHead(actions, *outcome.value(), now);
     }
@@ -233,7 +236,7 @@
 
 void distributor::didReceiveHead(actions& actions, stored_object const& object, time_point now)
 {
-    m_headRevision = object.revision;
+    m_headPosition = positionOf(object);
     auto parsed = parseHead(object.value);
     if (parsed.isError()) {
         actions.emplace_back(version_refused { 0, parsed.releaseFailure() });
@@ -259,13 +262,28 @@
     } else {
         didReadObject(key, outcome.value()->value, now, source);
     }
-    if (m_assembly && m_assembly->isComplete())
-        applyOrRefuse(actions, version_assembly(*m_assembly), {}, now);
+    applyIfComplete(actions, now);
     startDueReads(actions, now);
     sendDueRequest(actions, now);
     return actions;
 }
 
+void distributor::applyIfComplete(actions& actions, time_point now)
+{
+    if (m_assembly && m_assembly->isComplete() && !isHeldBack(m_assembly->version(), now))
+        applyOrRefuse(actions, version_assembly(*m_assembly), {}, now);
+}
+
+bool distributor::isHeldBack(version_number version, time_point now)
+{
+    if (m_store.applied()->version() > 0)
+        return false;
+    if (!m_heldBackSince)
+        m_heldBackSince = now;
+    bool const isNewestKnown = m_hasContact && m_highestKnown <= version;
+    return !isNewestKnown && now - *m_heldBackSince < m_settings.initialPeerWait;
+}
+
 void distributor::didReadObject(std::string const& key, std::string const& content, time_point now, generator& source)
 {
     m_platformCalls.didSucceed();
--- a/Libraries/LibDistribution/distributor.h
+++ b/Libraries/LibDistribution/distributor.h
@@ -64,6 +64,8 @@
     // Raises the lowest acceptable version. The owner passes the version that this VM had applied before a restart, as
     // recorded by peers.
     void raiseFloor(version_number);
+    // Tells whether any peer has answered this daemon.
+    void setHasContact(bool hasContact) { m_hasContact = hasContact; }
     // Starts the calls and requests that are due. To be called periodically.
     std::vector<distribution_action> tick(time_point now, generator&);
     // A peer advertised a version number in a heartbeat or in the frame of a call.
@@ -99,6 +101,9 @@
 
     // Creates the assembly of a version from the fragments that are already held.
     version_assembly startAssembly(version_number) const;
+    // Applies the version that is being read from the platform if it is complete and need not be held back.
+    void applyIfComplete(actions&, time_point now);
+    bool isHeldBack(version_number, time_point now);
     // Validates a complete version and applies it, or refuses it as a whole. The address is that of the peer that sent
     // it, empty for the platform.
     void applyOrRefuse(actions&, version_assembly const&, std::string const& fromAddress, time_point now);
@@ -119,7 +124,10 @@
     // While this version is read from the platform, peers are asked only after part of the request timeout.
     time_point m_assemblyStartedAt {};
     configuration_head m_head;
-    std::uint64_t m_headRevision { 0 };
+    store_position m_headPosition;
+    bool m_hasContact { false };
+    // When the first version read from the platform was complete.
+    std::optional<time_point> m_heldBackSince;
 };
 
 } // namespace merlinpier
--- a/Libraries/LibMembership/member_registry.cpp
+++ b/Libraries/LibMembership/member_registry.cpp
@@ -1,6 +1,7 @@
 #include <LibMembership/member_registry.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace merlinpier {
 
@@ -14,6 +15,14 @@
     return period * 3 / 4 + duration(uniformBelow(source, static_cast<std::uint64_t>(period.count() / 2) + 1));
 }
 
+std::string vmOf(std::string const& key) { return key.substr(std::char_traits<char>::length(memberEntryPrefix)); }
+
+bool isDeparted(membership_table const& table, std::string const& vm, std::string const& address)
+{
+    auto const* record = table.find(vm);
+    return record && record->state == member_state::Gone && record->address == address;
+}
+
 bool isLiveMember(membership_table const& table, std::string const& vm, std::string const& address)
 {
     auto const* record = table.find(vm);
@@ -31,8 +40,12 @@
     membership_table const& table, status current, time_point now, generator& source)
 {
     std::vector<registry_action> actions;
-    if (current.isRelay)
+    if (current.storeEra != m_storeEra && std::exchange(m_storeEra, current.storeEra) > 0)
+        didRestoreStore(now, source);
+    if (current.isRelay) {
         removeStaleEntries(table, now, actions);
+        restoreLostEntries(table, actions);
+    }
     if (m_isRequestPending || now < m_nextRequestTime)
         return actions;
     if (!m_isRegistered) {
@@ -60,7 +73,7 @@
 }
 
 std::vector<std::string> member_registry::didList(
-    result<std::vector<stored_object>> const& outcome, time_point now, generator& source)
+    result<std::vector<stored_object>> const& outcome, membership_table const& table, time_point now, generator& source)
 {
     m_isRequestPending = false;
     if (outcome.isError()) {
@@ -82,19 +95,54 @@
         auto const notLiveSince
             = known != m_entries.end() && known->second.revision == object.revision ? known->second.notLiveSince : now;
         listed.emplace(object.key, entry { object.value, object.revision, notLiveSince });
-        addresses.push_back(object.value);
+        if (!isDeparted(table, vmOf(object.key), object.value))
+            addresses.push_back(object.value);
     }
     m_entries = std::move(listed);
+    m_listedDaemons = m_entries.size() + 1;
+    if (std::exchange(m_findsLostEntries, false))
+        findLostEntries(table);
     return addresses;
 }
 
+void member_registry::didRestoreStore(time_point now, generator& source)
+{
+    // The revisions of the former era may belong to other writes now, so no removal may name them.
+    m_entries.clear();
+    m_lostEntries.clear();
+    m_hasListedEntries = false;
+    m_findsLostEntries = true;
+    auto const spread = static_cast<std::uint64_t>(duration(m_settings.restoreSpread).count());
+    m_nextRequestTime = now + duration(uniformBelow(source, spread + 1));
+}
+
+void member_registry::findLostEntries(membership_table const& table)
+{
+    auto const* self = table.find(m_settings.vm);
+    for (auto const& [vm, record] : table.records()) {
+        bool const isInOwnZone = self && record.zone == self->zone && vm != m_settings.vm;
+        if (isInOwnZone && record.state == member_state::Alive && !m_entries.contains(memberEntryPrefix + vm))
+            m_lostEntries.push_back(vm);
+    }
+}
+
+void member_registry::restoreLostEntries(membership_table const& table, std::vector<registry_action>& actions)
+{
+    std::size_t const count = std::min(m_lostEntries.size(), m_settings.restoredEntriesPerTick);
+    for (std::size_t i = 0; i < count; ++i) {
+        auto const* record = table.find(m_lostEntries.back());
+        if (record && record->state == member_state::Alive)
+            actions.emplace_back(restore_entry { memberEntryPrefix + record->vm, record->address });
+        m_lostEntries.pop_back();
+    }
+}
+
 void member_registry::removeStaleEntries(
     membership_table const& table, time_point now, std::vector<registry_action>& actions)
 {
-    constexpr std::size_t prefixLength = std::char_traits<char>::length(memberEntryPrefix);
     for (auto found = m_entries.begin(); found != m_entries.end();) {
         auto& [key, known] = *found;
-        if (isLiveMember(table, key.substr(prefixLength), known.address))
+        if (isLiveMember(table, vmOf(key), known.address))
             known.notLiveSince = now;
         if (now - known.notLiveSince < m_settings.staleEntryRetention) {
             ++found;
--- a/Libraries/LibMembership/member_registry.h
+++ b/Libraries/LibMembership/member_registry.h
@@ -31,7 +31,13 @@
     std::uint64_t revision { 0 };
     bool operator==(remove_entry const&) const = default;
 };
-using registry_action = std::variant<write_entry, list_entries, remove_entry>;
+// Asks the caller to write the entry of another live daemon if it does not exist. The outcome is not reported.
+struct restore_entry {
+    std::string key;
+    std::string value;
+    bool operator==(restore_entry const&) const = default;
+};
+using registry_action = std::variant<write_entry, list_entries, remove_entry, restore_entry>;
 
 // Prefix of the entries' keys, followed by the daemon's VM. The value is the address of the daemon's peer listener.
 inline constexpr char const* memberEntryPrefix = "merlinpier-members/";
@@ -46,25 +52,39 @@
     milliseconds longestBackOff { 2000 };
     // Relays remove an entry whose daemon has not been a live member for this long.
     milliseconds staleEntryRetention { 15000 };
+    // After a restore of the store, the daemons that notice it list the entries within this time, at random moments.
+    milliseconds restoreSpread { 500 };
+    // The number of lost entries that a relay writes again per tick, so that all relays together stay below the store's
+    // rate of writes.
+    std::size_t restoredEntriesPerTick { 8 };
 };
 
 // Initial discovery of other daemons: each daemon keeps an entry in the platform's store and reads the entries of the
 // others as seeds to join through. Once a daemon has contact with others, its membership no longer depends on the
-// store. Entries do not expire in the store, so relays remove those of daemons that are gone. Failed requests are
-// retried with backoff. Does no I/O and has no clock or random source of its own.
+// store. Entries do not expire in the store, so relays remove those of daemons that are gone.
+//
+// A store that was restored from an older copy has lost the newest entries and has those of departed daemons again. The
+// relays of each zone notice the new era, list the entries and write the missing ones of their zone's live members, as
+// most daemons have no reason to call the store themselves. Entries of known departed daemons are not returned as
+// seeds. Failed requests are retried with backoff. Does no I/O and has no clock or random source of its own.
 class member_registry {
 public:
     explicit member_registry(registry_settings);
 
-    // Whether other daemons answer, and whether this daemon is a relay and therefore removes stale entries.
+    // Whether other daemons answer, whether this daemon is a relay and therefore maintains the entries of others, and
+    // the era of the store.
     struct status {
         bool hasContact { false };
         bool isRelay { false };
+        std::uint64_t storeEra { 0 };
     };
     std::vector<registry_action> tick(membership_table const&, status, time_point now, generator&);
     void didWrite(result<empty> const&, time_point now, generator&);
-    // Returns the addresses of the daemons listed, other than this one.
-    std::vector<std::string> didList(result<std::vector<stored_object>> const&, time_point now, generator&);
+    // Returns the addresses of the daemons listed, other than this one and those that the table has as Gone.
+    std::vector<std::string> didList(
+        result<std::vector<stored_object>> const&, membership_table const&, time_point now, generator&);
+    // The number of daemons with an entry at the last listing, this one included; 0 before the first listing.
+    std::size_t listedDaemons() const { return m_listedDaemons; }
 
 private:
     struct entry {
@@ -75,6 +95,11 @@
 
     std::string ownKey() const { return memberEntryPrefix + m_settings.vm; }
     void backOff(time_point now, generator&);
+    // Starts over with the entries of a store that was restored from an older copy.
+    void didRestoreStore(time_point now, generator&);
+    // Notes the live members of the own zone that have no entry.
+    void findLostEntries(membership_table const&);
+    void restoreLostEntries(membership_table const&, std::vector<registry_action>&);
     void removeStaleEntries(membership_table const&, time_point now, std::vector<registry_action>&);
 
     registry_settings m_settings;
@@ -84,6 +109,12 @@
     time_point m_nextRequestTime {};
     time_point m_nextRefresh {};
     bool m_hasListedEntries { false };
+    std::size_t m_listedDaemons { 0 };
+    std::uint64_t m_storeEra { 0 };
+    // Whether the next listing is the first after a restore of the store.
+    bool m_findsLostEntries { false };
+    // VMs whose entries a restore has lost and that are still to be written again.
+    std::vector<std::string> m_lostEntries;
     unsigned m_failures { 0 };
 };
 
--- a/Libraries/LibPlatform/object_store.h
+++ b/Libraries/LibPlatform/object_store.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/result.h>
 #include <LibCore/time.h>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -10,16 +11,29 @@
 
 namespace merlinpier {
 
-// An object stored by the platform. Every write gives the object a higher revision; no revision is reused, even after
-// the object is removed.
+// An object stored by the platform. Within one era, every write gives the object a higher revision, and no revision is
+// reused, even after the object is removed.
 struct stored_object {
     std::string key;
     std::uint64_t revision { 0 };
     std::string value;
+    // How often the store had been restored from an older copy when it returned the object; 0 if the store does not
+    // report it. A restore loses the newest writes and assigns their revisions again.
+    std::uint64_t era { 0 };
 
     bool operator==(stored_object const&) const = default;
 };
 
+// The position of a write in the history of a store, which restores may have set back.
+struct store_position {
+    std::uint64_t era { 0 };
+    std::uint64_t revision { 0 };
+
+    auto operator<=>(store_position const&) const = default;
+};
+
+inline store_position positionOf(stored_object const& object) { return { object.era, object.revision }; }
+
 // The condition on the object's current revision under which a write or a removal takes effect.
 struct write_condition {
     // Not set: no condition. 0: the object must not exist. Otherwise: the object must have this revision.
@@ -50,6 +64,8 @@
     // Waits until the object has a revision above afterRevision or the wait has passed, then yields the current object,
     // or nothing if it does not exist.
     virtual void watch(std::string const& key, std::uint64_t afterRevision, duration wait, read_callback) = 0;
+    // The highest era that the store has reported in any answer so far; 0 if it reports none.
+    virtual std::uint64_t era() const { return 0; }
 };
 
 } // namespace merlinpier
--- a/Services/Daemon/configuration_part.h
+++ b/Services/Daemon/configuration_part.h
@@ -37,6 +37,7 @@
     configuration_summary summary() const;
     void setPeers(distribution_peers);
     void raiseFloor(version_number);
+    void setHasContact(bool hasContact) { m_distributor.setHasContact(hasContact); }
     void didHearVersion(std::string const& address, version_number);
     void didReceive(std::string const& address, message const&);
     void tick();
--- a/Services/Daemon/daemon.cpp
+++ b/Services/Daemon/daemon.cpp
@@ -148,6 +148,7 @@
 {
     m_configuration.setPeers(m_membership.peers());
     m_configuration.raiseFloor(m_membership.appliedBefore());
+    m_configuration.setHasContact(m_membership.hasContact());
     yieldLostClaims();
     markRoutesOld();
 }
@@ -175,7 +176,7 @@
 void daemon::renewRoutes()
 {
     m_routesAreOld = false;
-    m_calls.setDaemons(liveMembers());
+    setRetryBudgetDaemons();
     m_membership.buildSnapshot(m_configuration.applied(), [this](std::shared_ptr<routing_snapshot const> snapshot) {
         auto const before = m_calls.snapshot();
         bool const hasNewRoutes = !before || before->version() != snapshot->version();
@@ -185,6 +186,18 @@
     });
 }
 
+void daemon::setListedDaemons(std::size_t count)
+{
+    m_listedDaemons = count;
+    setRetryBudgetDaemons();
+}
+
+void daemon::setRetryBudgetDaemons()
+{
+    if (m_listedDaemons > 0)
+        m_calls.setDaemons(std::max(m_listedDaemons, liveMembers()));
+}
+
 void daemon::yieldLostClaims()
 {
     auto const own = m_targets.records();
@@ -209,6 +222,8 @@
     // Contacts age without a message, so the peers are taken anew with every tick.
     m_configuration.setPeers(m_membership.peers());
     m_configuration.raiseFloor(m_membership.appliedBefore());
+    m_configuration.setHasContact(m_membership.hasContact());
+    m_targets.didDepartBefore(m_membership.departedBefore());
     m_configuration.tick();
 }
 
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -59,6 +59,9 @@
     bool isDraining() const { return m_isDraining; }
     // Callers are refused during the last part of a planned stop.
     bool refusesCallers() const { return m_refusesCallers; }
+    // The number of daemons that the platform's store lists. Until it is known, no daemon can tell how many others
+    // share the retry budgets, since a daemon that has just started does not know all members.
+    void setListedDaemons(std::size_t);
 
 private:
     void didReceiveControl(std::string const& address, message) override;
@@ -80,6 +83,7 @@
     void tickQuickly();
     void continueDrain();
     std::size_t liveMembers() const;
+    void setRetryBudgetDaemons();
 
     daemon_settings m_settings;
     daemon_environment m_environment;
@@ -94,6 +98,7 @@
     std::function<void(routing_snapshot const&)> m_didRenewRoutes;
     std::function<void()> m_didDrain;
     time_point m_drainBegan;
+    std::size_t m_listedDaemons { 0 };
     bool m_routesAreOld { false };
     bool m_isDraining { false };
     bool m_refusesCallers { false };
--- a/Services/Daemon/discovery.cpp
+++ b/Services/Daemon/discovery.cpp
@@ -39,7 +39,7 @@
 void discovery::tick()
 {
     auto const& membership = m_daemon.membership();
-    member_registry::status const status { membership.hasContact(), membership.peers().isRelay };
+    member_registry::status const status { membership.hasContact(), membership.peers().isRelay, m_store.era() };
     carryOut(m_registry.tick(membership.table(), status, currentTime(), m_generator));
 }
 
@@ -58,10 +58,20 @@
             m_store.list(wanted->prefix, [this](result<std::vector<stored_object>> const& outcome) {
                 if (outcome.isError())
                     logWarning("entries_not_listed", { { "reason", outcome.failure().text() } });
-                auto const addresses = m_registry.didList(outcome, currentTime(), m_generator);
+                auto const addresses
+                    = m_registry.didList(outcome, m_daemon.membership().table(), currentTime(), m_generator);
                 logInfo("entries_listed", { { "others", static_cast<std::uint64_t>(addresses.size()) } });
                 m_daemon.membership().addSeeds(addresses);
+                m_daemon.setListedDaemons(m_registry.listedDaemons());
             });
+        } else if (auto* restored = std::get_if<restore_entry>(&action)) {
+            logInfo("entry_restored", { { "entry", restored->key } });
+            m_store.write(restored->key, std::move(restored->value), { 0 },
+                [key = restored->key](result<stored_object> const& outcome) {
+                    // A conflict means that another daemon has written it.
+                    if (outcome.isError() && outcome.failure().kind != error_kind::Conflict)
+                        logWarning("entry_not_restored", { { "entry", key }, { "reason", outcome.failure().text() } });
+                });
         } else if (auto const* removed = std::get_if<remove_entry>(&action)) {
             logInfo("entry_removed", { { "entry", removed->key } });
             m_store.remove(removed->key, { removed->revision }, [key = removed->key](result<empty> const& outcome) {
--- a/Tests/LibDistribution/distribution_simulation.cpp
+++ b/Tests/LibDistribution/distribution_simulation.cpp
@@ -15,15 +15,18 @@
     daemon.distributor->setPeers(daemon.peers);
     applied[address].clear();
     openWatches[address] = 0;
+    // A daemon exchanges versions with its peers soon after it has started.
+    m_nextHeartbeatAt = std::min(m_nextHeartbeatAt, now + milliseconds(20));
     return *daemon.distributor;
 }
 
-version_number distribution_simulation::commit(std::vector<questionnaire> const& answers)
+version_number distribution_simulation::commit(
+    std::vector<questionnaire> const& answers, std::optional<version_number> version)
 {
     // The revision stays 1, so that unchanged answers keep their digest.
     std::vector<wire_fragment> fragments;
     manifest contents;
-    contents.version = m_head.version + 1;
+    contents.version = version.value_or(m_head.version + 1);
     for (auto const& each : answers) {
         auto const fragment = fragmentsOf({ each }, 1).at(0);
         contents.entries.push_back({ each.service, 1, fragment.digest });
@@ -32,11 +35,20 @@
     auto const content = serializeManifest(contents);
     auto const digest = contentDigest(content);
     m_objects[manifestKey(digest)] = { manifestKey(digest), 1, content };
-    m_head = m_head.next(digest, { "id" + std::to_string(contents.version), contents.version, "slots", 1, "team" });
-    m_objects[headKey] = { headKey, contents.version, serializeHead(m_head) };
+    auto const former = version ? configuration_head { *version - 1, {}, {} } : m_head;
+    m_head = former.next(digest, { "id" + std::to_string(contents.version), contents.version, "slots", 1, "team" });
+    m_objects[headKey] = { headKey, ++m_revision, serializeHead(m_head) };
     return contents.version;
 }
 
+void distribution_simulation::restorePlatform(platform_copy const& copy)
+{
+    m_objects = copy.objects;
+    m_head = copy.head;
+    m_revision = copy.revision;
+    ++m_era;
+}
+
 void distribution_simulation::run(duration time)
 {
     constexpr milliseconds step { 10 };
@@ -63,6 +75,8 @@
         for (auto const& relay : reportsTo) {
             if (!m_daemons.contains(relay) || isLinkDown(address, relay))
                 continue;
+            at(address).setHasContact(true);
+            at(relay).setHasContact(true);
             auto const advertise = [this](std::string const& from, std::string const& to) {
                 auto const version = at(from).store().applied()->version();
                 if (version > at(to).store().applied()->version())
@@ -83,7 +97,7 @@
         if (auto const* watch = std::get_if<watch_platform_head>(&action)) {
             platformCalls[address].emplace_back("watch");
             ++openWatches[address];
-            this->watch(address, *watch, now + watch->wait);
+            this->watch(address, *watch, m_era, now + watch->wait);
         }
         if (auto const* read = std::get_if<read_platform_object>(&action)) {
             platformCalls[address].push_back(read->key);
@@ -116,13 +130,15 @@
     }
 }
 
-void distribution_simulation::watch(std::string const& address, watch_platform_head const& watch, time_point until)
+void distribution_simulation::watch(
+    std::string const& address, watch_platform_head const& watch, std::uint64_t era, time_point until)
 {
     schedule(address, milliseconds(10), [=, this](auto& it) {
         auto const found = readObject(address, headKey);
-        bool const hasChanged = found.isError() || (found.value() && found.value()->revision > watch.afterRevision);
+        bool const hasChanged
+            = found.isError() || era != m_era || (found.value() && found.value()->revision > watch.afterRevision);
         if (!hasChanged && now < until) {
-            this->watch(address, watch, until);
+            this->watch(address, watch, era, until);
             return std::vector<distribution_action>();
         }
         --openWatches[address];
@@ -136,7 +152,11 @@
     if (isPlatformUnreachable(address))
         return error { error_kind::Unavailable, "the platform does not answer", "wait" };
     auto const found = m_objects.find(key);
-    return found == m_objects.end() ? std::optional<stored_object>() : found->second;
+    if (found == m_objects.end())
+        return std::optional<stored_object>();
+    auto object = found->second;
+    object.era = m_era;
+    return std::optional(object);
 }
 
 bool distribution_simulation::allApplied(version_number version) const
--- a/Tests/LibDistribution/distribution_simulation.h
+++ b/Tests/LibDistribution/distribution_simulation.h
@@ -25,9 +25,17 @@
     distributor& start(std::string const& address, distribution_peers, distribution_mode = distribution_mode::Push);
     distributor& at(std::string const& address) { return *m_daemons.at(address).distributor; }
     void stop(std::string const& address) { m_daemons.erase(address); }
-    // Writes the next version to the platform and returns its number. The answers are not validated, unlike in an
-    // operator's commit, so a version can be invalid.
-    version_number commit(std::vector<questionnaire> const&);
+    // Writes the next version to the platform, or the given one, and returns its number. The answers are not validated,
+    // unlike in an operator's commit, so a version can be invalid.
+    version_number commit(std::vector<questionnaire> const&, std::optional<version_number> = {});
+    // The content of the platform, from which it can be restored later in a new era.
+    struct platform_copy {
+        std::map<std::string, stored_object> objects;
+        configuration_head head;
+        std::uint64_t revision { 0 };
+    };
+    platform_copy copyPlatform() const { return { m_objects, m_head, m_revision }; }
+    void restorePlatform(platform_copy const&);
     void run(duration);
     // Whether every daemon applies exactly this version.
     bool allApplied(version_number) const;
@@ -61,7 +69,7 @@
     void perform(std::string const& address, std::vector<distribution_action> const&);
     void schedule(std::string const& address, duration delay, event);
     void send(std::string const& from, send_message const&);
-    void watch(std::string const& address, watch_platform_head const&, time_point until);
+    void watch(std::string const& address, watch_platform_head const&, std::uint64_t era, time_point until);
     void sendHeartbeats();
     result<std::optional<stored_object>> readObject(std::string const& address, std::string const& key) const;
 
@@ -69,6 +77,8 @@
     std::map<std::string, daemon> m_daemons;
     std::map<std::string, stored_object> m_objects;
     configuration_head m_head;
+    std::uint64_t m_revision { 0 };
+    std::uint64_t m_era { 1 };
     std::multimap<time_point, std::pair<std::string, event>> m_scheduledEvents;
     time_point m_nextHeartbeatAt {};
 };
--- a/Tests/LibMembership/member_registry_test.cpp
+++ b/Tests/LibMembership/member_registry_test.cpp
@@ -1,5 +1,6 @@
 #include <LibMembership/member_registry.h>
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace merlinpier {
@@ -16,7 +17,7 @@
     }
     void list(std::vector<stored_object> const& objects, duration after)
     {
-        m_addresses = m_registry.didList(objects, start + after, m_source);
+        m_addresses = m_registry.didList(objects, m_table, start + after, m_source);
     }
 
     generator m_source { 1 };
@@ -107,4 +108,28 @@
     EXPECT_EQ(removed, (std::vector<registry_action> { remove_entry { "merlinpier-members/10.0.0.3", 9 } }));
 }
 
+TEST_F(RegistryTest, DoesNotReturnDepartedDaemonsAsSeeds)
+{
+    member_record gone;
+    gone.vm = "10.0.0.2";
+    gone.address = "10.0.0.2:7000";
+    gone.incarnation = 1;
+    gone.state = member_state::Gone;
+    m_table.merge(gone);
+    list({ makeEntry("10.0.0.2"), makeEntry("10.0.0.3") }, milliseconds(0));
+    EXPECT_EQ(m_addresses, (std::vector<std::string> { "10.0.0.3:7000" }));
+}
+
+TEST_F(RegistryTest, RemovesNoEntryByARevisionOfAnEarlierEra)
+{
+    tick(milliseconds(0), { true, true, 1 });
+    m_registry.didWrite(empty {}, start, m_source);
+    tick(milliseconds(10), { true, true, 1 });
+    list({ makeEntry("10.0.0.1"), makeEntry("10.0.0.3", 9) }, milliseconds(20));
+    // The entry would be removed now, but the restored store may have given revision 9 to a later write.
+    auto const actions = tick(seconds(16), { true, true, 2 });
+    EXPECT_TRUE(std::none_of(actions.begin(), actions.end(),
+        [](auto const& action) { return std::holds_alternative<remove_entry>(action); }));
+}
+
 } // namespace merlinpier
--- a/Tests/platform/platform_store_test.cpp
+++ b/Tests/platform/platform_store_test.cpp
@@ -39,7 +39,10 @@
 protected:
     void answer(int status, nlohmann::json const& body)
     {
-        m_client.answers.push_back(http_response { status, {}, body.dump() });
+        std::vector<http_field> headers;
+        if (m_era > 0)
+            headers.push_back({ "Store-Era", std::to_string(m_era) });
+        m_client.answers.push_back(http_response { status, headers, body.dump() });
     }
     result<std::optional<stored_object>> watch(std::uint64_t after)
     {
@@ -53,6 +56,8 @@
     }
 
     scripted_client m_client;
+    // The era that the following answers report; 0 for none.
+    std::uint64_t m_era { 0 };
     platform_store m_store { m_client, "10.0.0.9:1" };
 };
 
@@ -153,4 +158,79 @@
     EXPECT_EQ(lastPath(), "/v1/objects/members?after=a");
 }
 
+TEST_F(PlatformStoreTest, ReadsTheConfigurationAgainInANewEra)
+{
+    m_era = 1;
+    answer(200, operatorObject(40, "00000007"));
+    ASSERT_FALSE(watch(0).isError());
+    // The counter of the restored store has passed revision 40 again: the answer lacks the changes up to there.
+    m_era = 2;
+    answer(200, { { "events", nlohmann::json::array() }, { "current_rev", 55 } });
+    answer(200, operatorObject(38, "00000009"));
+    auto const seen = watch(40);
+    ASSERT_TRUE(seen.value());
+    EXPECT_EQ(parseHead(seen.value()->value).value().version, 9u);
+    EXPECT_EQ(positionOf(*seen.value()), (store_position { 2, 38 }));
+    EXPECT_EQ(m_store.era(), 2u);
+    answer(200, { { "events", nlohmann::json::array() }, { "current_rev", 56 } });
+    EXPECT_FALSE(watch(38).value());
+    EXPECT_EQ(lastPath(), "/v1/objects/config/main?watch=38&wait_ms=20000");
+}
+
+TEST_F(PlatformStoreTest, WatchesFromTheLowerRevisionAfterARestore)
+{
+    m_era = 1;
+    answer(200, operatorObject(40, "00000007"));
+    ASSERT_FALSE(watch(0).isError());
+    m_era = 2;
+    answer(410, nlohmann::json::object());
+    answer(200, operatorObject(12, "00000007"));
+    ASSERT_TRUE(watch(40).value());
+    answer(200, { { "events", nlohmann::json::array() }, { "current_rev", 13 } });
+    EXPECT_FALSE(watch(12).value());
+    EXPECT_EQ(lastPath(), "/v1/objects/config/main?watch=12&wait_ms=20000") << "every watch would get 410";
+}
+
+TEST_F(PlatformStoreTest, DiscardsAnswersOfAnEarlierEra)
+{
+    m_era = 2;
+    answer(200, operatorObject(12, "00000007"));
+    ASSERT_FALSE(watch(0).isError());
+    m_era = 1;
+    answer(200,
+        { { "events", { { { "object", operatorObject(44, "00000009") }, { "deleted", false } } } },
+            { "current_rev", 46 } });
+    EXPECT_EQ(watch(12).failure().kind, error_kind::Unavailable);
+    EXPECT_EQ(m_store.era(), 2u);
+}
+
+TEST_F(PlatformStoreTest, KeepsTheNewestConfigurationWhenTheStoreShowsAnOlderOne)
+{
+    m_era = 1;
+    answer(200, operatorObject(40, "00000009"));
+    auto const before = watch(0);
+    auto const digest = parseHead(before.value()->value).value().manifestDigest;
+    m_era = 2;
+    answer(410, nlohmann::json::object());
+    answer(200, operatorObject(12, "00000007"));
+    EXPECT_EQ(parseHead(watch(40).value()->value).value().version, 9u);
+    std::optional<stored_object> manifestObject;
+    m_store.read(manifestKey(digest), [&](auto const& read) { manifestObject = read.value(); });
+    EXPECT_TRUE(manifestObject) << "the version in force can no longer be read";
+}
+
+TEST_F(PlatformStoreTest, FailsAListingThatARestoreInterrupts)
+{
+    auto const item = [](char const* name) {
+        return nlohmann::json { { "metadata", { { "name", name }, { "revision", 1 } } }, { "spec", "x:1" } };
+    };
+    m_era = 1;
+    answer(200, { { "items", { item("a") } }, { "has_more", true } });
+    m_era = 2;
+    answer(200, { { "items", { item("c") } }, { "has_more", false } });
+    result<std::vector<stored_object>> listed = std::vector<stored_object> {};
+    m_store.list("members/", [&](auto const& outcome) { listed = outcome; });
+    EXPECT_TRUE(listed.isError());
+}
+
 } // namespace merlinpier::platform
