platform, Services: Survive fields of another type in the store and in zone views

Cause: a name that is a number, or has_more, deleted or items of another type in an answer of the store threw an exception that nothing caught, and ended the process; so did a malformed view of a zone. A page of a listing without objects of ours ended it early. Change: fields of another type count as missing; a view that cannot be read makes its zone unreachable. A listing goes on behind the last object listed, readable or not, so the test that expected it to go on behind the last readable one now expects the next name (the objects between were read twice).

--- a/Services/Daemon/status_report.cpp
+++ b/Services/Daemon/status_report.cpp
@@ -1,5 +1,6 @@
 #include "status_report.h"
 
+#include <LibCore/log.h>
 #include <LibWire/state_names.h>
 
 #include "operator_api.h"
@@ -134,21 +135,33 @@
 
 void status_report::didAnswerZone(std::string const& zone, std::string const& view)
 {
-    auto const json = nlohmann::json::parse(view, nullptr, false);
-    if (!json.is_object() || !json.contains("members")) {
+    auto read = readView(view);
+    if (!read) {
+        logWarning("zone_view_unreadable", { { "zone", zone } });
         didFailZone(zone);
         return;
     }
-    auto& known = m_zones[zone];
-    known.isReachable = true;
-    known.members.clear();
-    for (auto const& member : json["members"])
-        known.members.push_back(memberFrom(member));
-    known.silent = json.value("silent", std::vector<std::string> {});
-    known.highestKnown = json.value("highest_known", version_number { 0 });
+    m_zones[zone] = std::move(*read);
     didSettleOne();
 }
 
+std::optional<status_report::zone_view> status_report::readView(std::string const& json)
+{
+    // A relay of another version may send other fields; its answer must not end this process.
+    try {
+        auto const view = nlohmann::json::parse(json);
+        zone_view known;
+        known.isReachable = true;
+        for (auto const& member : view.at("members"))
+            known.members.push_back(memberFrom(member));
+        known.silent = view.value("silent", std::vector<std::string> {});
+        known.highestKnown = view.value("highest_known", version_number { 0 });
+        return known;
+    } catch (nlohmann::json::exception const&) {
+        return std::nullopt;
+    }
+}
+
 void status_report::didFailZone(std::string const& zone)
 {
     m_zones[zone].isReachable = false;
--- a/Services/Daemon/status_report.h
+++ b/Services/Daemon/status_report.h
@@ -3,8 +3,11 @@
 #include "daemon.h"
 
 #include <LibHttp/http_server.h>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace merlinpier {
 
@@ -17,6 +20,16 @@
     // What this daemon itself knows of the members of its zone, as JSON.
     static std::string ownView(daemon&);
 
+    // What a relay knows of the members of its zone.
+    struct zone_view {
+        bool isReachable { false };
+        std::vector<member_record> members;
+        std::vector<std::string> silent;
+        version_number highestKnown { 0 };
+    };
+    // Reads what ownView() of another daemon has written; nothing if a field is missing or of another type.
+    static std::optional<zone_view> readView(std::string const& json);
+
 private:
     status_report(daemon&, version_number asked, std::shared_ptr<http_responder>);
     void askZones();
@@ -26,13 +39,6 @@
     void didSettleOne();
     void respond();
 
-    struct zone_view {
-        bool isReachable { false };
-        std::vector<member_record> members;
-        std::vector<std::string> silent;
-        version_number highestKnown { 0 };
-    };
-
     daemon& m_daemon;
     version_number m_asked;
     std::shared_ptr<http_responder> m_responder;
--- a/Tests/platform/platform_store_test.cpp
+++ b/Tests/platform/platform_store_test.cpp
@@ -155,7 +155,7 @@
     std::vector<stored_object> listed;
     m_store.list("members/", [&](auto const& outcome) { listed = outcome.value(); });
     EXPECT_EQ(listed, (std::vector<stored_object> { { "members/a", 1, "x:1" }, { "members/c", 2, "y:1" } }));
-    EXPECT_EQ(lastPath(), "/v1/objects/members?after=a");
+    EXPECT_EQ(lastPath(), "/v1/objects/members?after=b");
 }
 
 TEST_F(PlatformStoreTest, ReadsTheConfigurationAgainInANewEra)
@@ -233,4 +233,45 @@
     EXPECT_TRUE(listed.isError());
 }
 
+// Another writer can put anything into an object, and no content may end the process.
+TEST_F(PlatformStoreTest, SurvivesFieldsOfAnotherType)
+{
+    auto const nameOfNumber
+        = nlohmann::json { { "metadata", { { "name", 7 }, { "revision", "x" } } }, { "spec", "a" } };
+    auto const good = nlohmann::json { { "metadata", { { "name", "b" }, { "revision", 2 } } }, { "spec", "y:1" } };
+    std::vector<stored_object> listed;
+    auto const list = [&] {
+        m_store.list("members/",
+            [&](auto const& outcome) { listed = outcome.isError() ? std::vector<stored_object> {} : outcome.value(); });
+    };
+    answer(200, { { "items", { nameOfNumber, 5, nullptr, good } }, { "has_more", "no" } });
+    list();
+    EXPECT_EQ(listed, (std::vector<stored_object> { { "members/b", 2, "y:1" } }));
+    answer(200, { { "items", "none" } });
+    list();
+    EXPECT_TRUE(listed.empty());
+    answer(200, operatorObject(40, "00000007"));
+    ASSERT_FALSE(watch(0).isError());
+    answer(200,
+        { { "events", { 3, { { "object", operatorObject(44, "00000009") }, { "deleted", "maybe" } } } },
+            { "current_rev", "soon" } });
+    EXPECT_EQ(parseHead(watch(40).value()->value).value().version, 9u);
+    answer(200, { { "metadata", 5 }, { "spec", 5 } });
+    m_store.read(headKey, [](auto const& read) { EXPECT_TRUE(read.isError()); });
+    answer(200, { { "metadata", "none" } });
+    m_store.write("members/a", "x", { 3 }, [](auto const& written) { EXPECT_FALSE(written.isError()); });
+}
+
+TEST_F(PlatformStoreTest, ListsOnBehindAPageWithoutObjectsOfItsOwn)
+{
+    answer(200,
+        { { "items", { { { "metadata", { { "name", "a" } } }, { "spec", { { "other", 1 } } } } } },
+            { "has_more", true } });
+    answer(200, { { "items", { { { "metadata", { { "name", "c" }, { "revision", 2 } } }, { "spec", "y:1" } } } } });
+    std::vector<stored_object> listed;
+    m_store.list("members/", [&](auto const& outcome) { listed = outcome.value(); });
+    EXPECT_EQ(listed, (std::vector<stored_object> { { "members/c", 2, "y:1" } }));
+    EXPECT_EQ(lastPath(), "/v1/objects/members?after=a");
+}
+
 } // namespace merlinpier::platform
