--- a/Services/Daemon/status_report.cpp
+++ b/Services/Daemon/status_report.cpp
@@ -1,11 +1,10 @@
 #include "status_report.h"
 
-#include <LibCore/log.h>
-#include <LibWire/state_names.h>
-
 #include "operator_api.h"
 #include "state_dump.h"
 
+#include <LibCore/log.h>
+#include <LibWire/state_names.h>
 #include <absl/strings/numbers.h>
 #include <nlohmann/json.hpp>
 
--- a/Tests/platform/platform_store_test.cpp
+++ b/Tests/platform/platform_store_test.cpp
@@ -274,4 +274,14 @@
     EXPECT_EQ(lastPath(), "/v1/objects/members?after=a");
 }
 
+// Without a pause, each watch would end at once and be followed by another read of the whole configuration.
+TEST_F(PlatformStoreTest, AsksForAPauseWhenTheHistorySinceTheLastChangeIsGone)
+{
+    answer(200, operatorObject(40, "00000007"));
+    ASSERT_FALSE(watch(0).isError());
+    answer(410, nlohmann::json::object());
+    answer(200, operatorObject(40, "00000007"));
+    EXPECT_EQ(watch(40).failure().kind, error_kind::RateLimited);
+}
+
 } // namespace merlinpier::platform
