LibCalls: Refuse returned calls at once while such calls starve

Change: for one service time after a late call was refused because of starvation, late calls that would have to wait are refused at once.

--- a/Libraries/LibCalls/admission_queue.cpp
+++ b/Libraries/LibCalls/admission_queue.cpp
@@ -37,7 +37,7 @@
     auto const wait = expectedWait(ahead);
     if (!canMeetDeadline(request, wait, now))
         return { refuse(request.id, kind::RefuseDeadline, now) };
-    if (exceedsLateAllowance(request, wait, now))
+    if (exceedsLateAllowance(request, wait, now) || isExpectedToStarve(request, now))
         return { refuse(request.id, kind::RefuseOverloaded, now) };
     if (queued() >= m_limits.queueLimit) {
         // The call that would be served last is displaced; among equals it is the newest.
@@ -180,9 +180,10 @@
         auto const& request = waiting.request;
         if (!canMeetDeadline(request, duration::zero(), now))
             decisions.push_back(refuse(request.id, admission_decision::kind::RefuseDeadline, now));
-        else if (isStarving(waiting, now))
+        else if (isStarving(waiting, now)) {
+            m_starvedAt = now;
             decisions.push_back(refuse(request.id, admission_decision::kind::RefuseOverloaded, now));
-        else
+        } else
             return false;
         return true;
     });
@@ -194,6 +195,11 @@
     return isLate && waiting.overtakenBy >= m_limits.slots;
 }
 
+bool admission_queue::isExpectedToStarve(admission_request const& request, time_point now) const
+{
+    return request.isLate && m_starvedAt && now - *m_starvedAt < serviceTimeOfRunning();
+}
+
 bool admission_queue::canMeetDeadline(admission_request const& request, duration wait, time_point now) const
 {
     return now + wait + serviceTime(request) + m_limits.deadlineMargin <= request.deadline;
--- a/Libraries/LibCalls/admission_queue.h
+++ b/Libraries/LibCalls/admission_queue.h
@@ -64,7 +64,8 @@
 // priority. Among equals the earliest objective is served first (EDF, Liu and Layland 1973), and calls that will miss
 // their objective come last, so that after an outage retrying callers use only the capacity that new calls leave. A
 // late call that has been overtaken by as many calls as there are slots is refused, since it would most likely wait
-// until its deadline without being served. A slot is held until release() is called for its call.
+// until its deadline without being served; for one service time after that, late calls that would have to wait are
+// refused at once, so that their callers need not wait for the same refusal. A slot is held until release() is called for its call.
 class admission_queue {
 public:
     void setLimits(admission_limits const& limits) { m_limits = limits; }
@@ -114,6 +115,8 @@
     void refuseUnservable(time_point now, std::vector<admission_decision>&);
     // Whether the call is late and has been overtaken by as many calls as the target has slots.
     bool isStarving(waiting_call const&, time_point now) const;
+    // Whether a late call that has to wait is expected to starve, as another one did just now.
+    bool isExpectedToStarve(admission_request const&, time_point now) const;
     bool canMeetDeadline(admission_request const&, duration wait, time_point now) const;
     bool missesObjective(admission_request const&, duration wait, time_point now) const;
     bool exceedsLateAllowance(admission_request const&, duration wait, time_point now) const;
@@ -126,6 +129,8 @@
     // In order of arrival; precedes() gives the order of service.
     std::deque<waiting_call> m_waiting;
     service_times m_serviceTimes;
+    // When a late call was last refused because of starvation.
+    std::optional<time_point> m_starvedAt;
     // Exponentially decaying count of refusals, as of m_refusedAt.
     double m_recentRefusals { 0 };
     time_point m_refusedAt {};
--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -123,8 +123,6 @@
         std::optional<std::uint32_t> loadPermille;
         // The target's recent service time for calls of this kind; 0 if not reported.
         std::uint32_t serviceUs { 0 };
-        // The share of the target's recent runs that failed, if reported.
-        std::optional<std::uint32_t> failurePermille {};
     };
 
     // Makes the final outcome for a refusal, with its message and a retry-after time of at least 1 ms.
--- a/Libraries/LibCalls/call_client_frames.cpp
+++ b/Libraries/LibCalls/call_client_frames.cpp
@@ -14,8 +14,7 @@
     call_answered outcome { answer, record->attempt->target.id, record->attempts };
     outcome.answer.id = record->request.id;
     updateMeanSize(*record, answer);
-    endAttempt(
-        *record, { attempt_outcome::Answered, answer.loadPermille, answer.serviceUs, answer.failurePermille }, now);
+    endAttempt(*record, { attempt_outcome::Answered, answer.loadPermille, answer.serviceUs }, now);
     if (retryFailure(*record, outcome, now, random, out))
         return;
     complete(*record, std::move(outcome), out);
@@ -31,7 +30,7 @@
     // call.
     bool const isTargetDown = refusal.reason == refusal_reason::TargetUnreachable;
     auto const outcome = isTargetDown ? attempt_outcome::Unreachable : attempt_outcome::Refused;
-    retryNotRun(*record, { outcome, refusal.loadPermille, refusal.serviceUs, refusal.failurePermille },
+    retryNotRun(*record, { outcome, refusal.loadPermille, refusal.serviceUs },
         notRun(refusal.reason, refusal.retryAfterMs), now, random, out);
 }
 
--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -226,10 +226,6 @@
     auto const decisions = m_queues[call.target].release(id, admission_queue::learning::Learn, now);
     bool const hasFailed = isFailureStatus(answer.status);
     answer.isInnerFailure = hasFailed && m_lastInnerFailure && now - *m_lastInnerFailure <= innerFailureDelay;
-    if (!answer.isInnerFailure)
-        m_failureRates[call.target].add(
-            hasFailed ? failure_rate::run_result::Failed : failure_rate::run_result::Succeeded);
-    answer.failurePermille = failurePermilleOf(call.target);
     answer.loadPermille = loadOf(call.target);
     answer.serviceUs = serviceUsOf(call);
     answer.version = m_version;
@@ -250,8 +246,6 @@
         return actions;
     auto& queue = m_queues[entry->call.target];
     auto const decisions = queue.release(id, admission_queue::learning::Ignore, now);
-    if (reason == refusal_reason::Shed || reason == refusal_reason::TargetUnreachable)
-        m_failureRates[entry->call.target].add(failure_rate::run_result::Failed);
     auto const serviceTime = queue.serviceTime(entry->call.entryPoint, entry->call.callClass);
     auto const retryAfter = isLoadRefusal(reason)
         ? std::max(std::chrono::ceil<milliseconds>(serviceTime), milliseconds(1))
@@ -279,7 +273,6 @@
     if (!entry || entry->state != run_state::Running)
         return actions;
     auto const decisions = m_queues[entry->call.target].release(id, admission_queue::learning::Ignore, now);
-    m_failureRates[entry->call.target].add(failure_rate::run_result::Failed);
     m_ledger.markLost(*entry, now);
     for (auto const& waiter : entry->waiters)
         reply(*entry, waiter, actions);
@@ -350,7 +343,7 @@
     if (auto const attempt = parseAttemptIdentifier(waiter.attempt))
         m_fence.window(waiter.instance, now).markNotRun(attempt->number);
     call_refused const refusal { waiter.attempt, reason, static_cast<std::uint32_t>(retryAfter.count()),
-        loadOf(call.target), m_version, serviceUsOf(call), failurePermilleOf(call.target) };
+        loadOf(call.target), m_version, serviceUsOf(call) };
     actions.push_back(reply_to_origin { waiter.instance, refusal });
 }
 
@@ -407,12 +400,6 @@
     return found == m_queues.end() ? 0 : found->second.loadPermille();
 }
 
-std::uint32_t call_server::failurePermilleOf(std::string const& target) const
-{
-    auto const found = m_failureRates.find(target);
-    return found == m_failureRates.end() ? 0 : found->second.permille();
-}
-
 std::uint32_t call_server::serviceUsOf(call_request const& call) const
 {
     auto const found = m_queues.find(call.target);
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -3,7 +3,6 @@
 #include <LibCalls/admission_queue.h>
 #include <LibCalls/attempt_identifier.h>
 #include <LibCalls/call_ledger.h>
-#include <LibCalls/failure_rate.h>
 #include <LibCalls/generation_fence.h>
 #include <LibCalls/local_targets.h>
 #include <LibCore/time.h>
@@ -132,14 +131,11 @@
     call_status statusOf(call_origin const&, std::string const& attempt, time_point now);
     std::uint32_t loadOf(std::string const& target) const;
     std::uint32_t serviceUsOf(call_request const&) const;
-    std::uint32_t failurePermilleOf(std::string const& target) const;
 
     call_server_settings m_settings;
     call_ledger m_ledger;
     generation_fence m_fence;
     std::map<std::string, admission_queue> m_queues;
-    // By target.
-    std::map<std::string, failure_rate> m_failureRates;
     std::uint64_t m_version { 0 };
     std::optional<time_point> m_lastInnerFailure;
 };
--- a/Libraries/LibDistribution/distributor.cpp
+++ b/Libraries/LibDistribution/distributor.cpp
@@ -224,7 +224,7 @@
         return actions;
     }
     m_platformCalls.didSucceed();
-    if (outcome.value() && positionOf(*outcome.value()) > m_headPosition) {
+    if (outcome.value() && positionOf(*outcome.value()).isAfter(m_headPosition)) {
         m_platformCalls.didObserveChange(now);
         didReceiveHead(actions, *outcome.value(), now);
     }
--- a/Libraries/LibPlatform/object_store.h
+++ b/Libraries/LibPlatform/object_store.h
@@ -2,11 +2,11 @@
 
 #include <LibCore/result.h>
 #include <LibCore/time.h>
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace merlinpier {
@@ -29,7 +29,11 @@
     std::uint64_t era { 0 };
     std::uint64_t revision { 0 };
 
-    auto operator<=>(store_position const&) const = default;
+    bool operator==(store_position const&) const = default;
+    bool isAfter(store_position const& other) const
+    {
+        return std::tie(era, revision) > std::tie(other.era, other.revision);
+    }
 };
 
 inline store_position positionOf(stored_object const& object) { return { object.era, object.revision }; }
--- a/Libraries/LibRouting/target_chooser.cpp
+++ b/Libraries/LibRouting/target_chooser.cpp
@@ -2,7 +2,6 @@
 
 #include <LibCore/digest.h>
 #include <algorithm>
-#include <cmath>
 
 namespace merlinpier {
 
@@ -23,10 +22,6 @@
 constexpr double missedObjectiveShare = 1.3;
 // Makes the faster of otherwise equal targets win; small enough not to outweigh a kilobyte transferred between zones.
 constexpr double finishTimeCost = 0.05;
-// The failure rate that a target's daemon reported counts half after each such time.
-constexpr milliseconds failureReportHalfLife { 2000 };
-// A target that fails fewer calls is not a reason to compare targets of other zones.
-constexpr double tolerableFailureProbability = 0.1;
 // How many random targets are compared for one call, in the own zone and in the others (power of two choices).
 constexpr std::size_t sampleSize = 2;
 // Targets with a load report as recent as this are compared in addition to the sample: most likely they have just
@@ -97,8 +92,6 @@
     std::copy_if(sameZone.begin(), sameZone.end(), std::back_inserter(compared),
         [&](auto const* target) { return hasFreshLoadReport(*target, now); });
     auto const isSafe = [&](route_target const* target) {
-        if (failureProbability(*target, now) > tolerableFailureProbability)
-            return false;
         double const finish = std::chrono::duration<double>(expectedFinish(*target, demand.kind, now)).count();
         return finish <= safeObjectiveShare * std::chrono::duration<double>(demand.objective).count();
     };
@@ -178,26 +171,7 @@
         = std::clamp((share - safeObjectiveShare) / (missedObjectiveShare - safeObjectiveShare), 0.0, 1.0);
     double const kilobytes = (static_cast<double>(demand.bytes) + overheadBytes) / bytesPerKilobyte;
     double const transferCost = target.zone == m_settings.zone ? 0 : kilobytes * m_settings.crossZoneCostPerKilobyte;
-    double const failure = failureProbability(target, now);
-    return failure + (1 - failure) * lateness * m_settings.latenessCost + transferCost + finishTimeCost * share;
-}
-
-double target_chooser::failureProbability(route_target const& target, time_point now) const
-{
-    auto const found = m_observations.find(target.id);
-    if (found == m_observations.end() || found->second.failurePermille == 0)
-        return 0;
-    double const halfLives = std::chrono::duration<double>(now - found->second.failuresReportedAt)
-        / std::chrono::duration<double>(failureReportHalfLife);
-    return found->second.failurePermille / 1000.0 * std::exp2(-halfLives);
-}
-
-void target_chooser::didReportFailures(std::string const& target, std::uint32_t failurePermille, time_point now)
-{
-    if (auto const found = m_observations.find(target); found != m_observations.end()) {
-        found->second.failurePermille = failurePermille;
-        found->second.failuresReportedAt = now;
-    }
+    return lateness * m_settings.latenessCost + transferCost + finishTimeCost * share;
 }
 
 duration target_chooser::expectedFinish(route_target const& target, std::string const& kind, time_point now) const
--- a/Libraries/LibRouting/target_chooser.h
+++ b/Libraries/LibRouting/target_chooser.h
@@ -50,7 +50,7 @@
     // it may wait in a target's queue.
     std::uint32_t probes { 2 };
     // For ExpectedFinish, as fractions of the value of a call that ends in time: the loss if it is late, and the cost
-    // of each kilobyte transferred between availability zones. The loss of a call that fails is 1.
+    // of each kilobyte transferred between availability zones.
     double latenessCost { 0.6 };
     double crossZoneCostPerKilobyte { 0.14 };
 };
@@ -105,8 +105,6 @@
         service_route const&, call_demand const&, std::set<std::string> const& tried, time_point now) const;
     // Records the service time of calls of the kind that the target's daemon reported.
     void didReportServiceTime(std::string const& target, std::string const& kind, duration);
-    // Records the share of the target's recent runs that failed, in thousandths, as its daemon reported it.
-    void didReportFailures(std::string const& target, std::uint32_t failurePermille, time_point now);
     // Drops the observations of targets that no service of the snapshot has any more, once no attempt is in flight;
     // starts the slow start of new ones.
     void setSnapshot(routing_snapshot const&, time_point now);
@@ -130,8 +128,6 @@
     load_refusal const* expectedRefusal(route_target const&, call_demand const&, time_point now) const;
     // The cost of running the call at the target, as a fraction of the value of a call that ends in time.
     double cost(route_target const&, call_demand const&, time_point now) const;
-    // The probability that the target fails a call; falls while it is not used, so that its recovery is noticed.
-    double failureProbability(route_target const&, time_point now) const;
     duration meanServiceTime(std::string const& kind) const;
     void recordFailure(target_observation&, time_point now) const;
 
--- a/Libraries/LibRouting/target_observation.h
+++ b/Libraries/LibRouting/target_observation.h
@@ -39,10 +39,6 @@
     // Attempts sent since the last load report.
     std::size_t sentSinceLoadReport { 0 };
 
-    // Share of the target's recent runs that failed, in thousandths, as its daemon last reported it, and when.
-    std::uint32_t failurePermille { 0 };
-    time_point failuresReportedAt {};
-
     // The last refusal for overload of each kind of call.
     std::map<std::string, load_refusal> refusals;
 
--- a/Libraries/LibWire/call_codec.cpp
+++ b/Libraries/LibWire/call_codec.cpp
@@ -60,15 +60,15 @@
     auto const id = writeText(builder, value.id);
     auto const headers = writeList(builder, value.headers, encodeHeader);
     return wire::CreateCallAnswer(builder, id, value.status, headers, body, value.loadPermille, value.version,
-        value.serviceUs, value.failurePermille, value.isInnerFailure);
+        value.serviceUs, value.isInnerFailure);
 }
 
 flatbuffers::Offset<wire::CallRefused> encode(flatbuffers::FlatBufferBuilder& builder, call_refused const& value)
 {
     auto const id = writeText(builder, value.id);
     auto const reason = static_cast<wire::Refusal>(value.reason);
-    return wire::CreateCallRefused(builder, id, reason, value.retryAfterMs, value.loadPermille, value.version,
-        value.serviceUs, value.failurePermille);
+    return wire::CreateCallRefused(
+        builder, id, reason, value.retryAfterMs, value.loadPermille, value.version, value.serviceUs);
 }
 
 flatbuffers::Offset<wire::CallLost> encode(flatbuffers::FlatBufferBuilder& builder, call_lost const& value)
@@ -138,7 +138,6 @@
         .loadPermille = table.load_permille(),
         .version = table.version(),
         .serviceUs = table.service_us(),
-        .failurePermille = table.failure_permille(),
         .isInnerFailure = table.inner_failure(),
     };
 }
@@ -152,7 +151,6 @@
         .loadPermille = table.load_permille(),
         .version = table.version(),
         .serviceUs = table.service_us(),
-        .failurePermille = table.failure_permille(),
     };
 }
 
--- a/Libraries/LibWire/call_messages.h
+++ b/Libraries/LibWire/call_messages.h
@@ -95,8 +95,6 @@
     std::uint64_t version { 0 };
     // What the target has lately needed for calls of this kind, without waiting; 0 if it has run none.
     std::uint32_t serviceUs { 0 };
-    // The share of the target's recent runs that failed, in thousandths.
-    std::uint32_t failurePermille { 0 };
     // The target reports a failure because a call that it made itself has failed. A retry would make all its calls
     // again, at a service that is short of capacity or retries.
     bool isInnerFailure { false };
@@ -113,7 +111,6 @@
     std::uint64_t version { 0 };
     // As in call_answer.
     std::uint32_t serviceUs { 0 };
-    std::uint32_t failurePermille { 0 };
 
     bool operator==(call_refused const&) const = default;
 };
--- a/Libraries/LibWire/frames_generated.h
+++ b/Libraries/LibWire/frames_generated.h
@@ -2183,8 +2183,7 @@
     VT_LOAD_PERMILLE = 12,
     VT_VERSION = 14,
     VT_SERVICE_US = 16,
-    VT_FAILURE_PERMILLE = 18,
-    VT_INNER_FAILURE = 20
+    VT_INNER_FAILURE = 18
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2207,9 +2206,6 @@
   uint32_t service_us() const {
     return GetField<uint32_t>(VT_SERVICE_US, 0);
   }
-  uint32_t failure_permille() const {
-    return GetField<uint32_t>(VT_FAILURE_PERMILLE, 0);
-  }
   bool inner_failure() const {
     return GetField<uint8_t>(VT_INNER_FAILURE, 0) != 0;
   }
@@ -2226,7 +2222,6 @@
            VerifyField<uint32_t>(verifier, VT_LOAD_PERMILLE, 4) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_SERVICE_US, 4) &&
-           VerifyField<uint32_t>(verifier, VT_FAILURE_PERMILLE, 4) &&
            VerifyField<uint8_t>(verifier, VT_INNER_FAILURE, 1) &&
            verifier.EndTable();
   }
@@ -2257,9 +2252,6 @@
   void add_service_us(uint32_t service_us) {
     fbb_.AddElement<uint32_t>(CallAnswer::VT_SERVICE_US, service_us, 0);
   }
-  void add_failure_permille(uint32_t failure_permille) {
-    fbb_.AddElement<uint32_t>(CallAnswer::VT_FAILURE_PERMILLE, failure_permille, 0);
-  }
   void add_inner_failure(bool inner_failure) {
     fbb_.AddElement<uint8_t>(CallAnswer::VT_INNER_FAILURE, static_cast<uint8_t>(inner_failure), 0);
   }
@@ -2283,11 +2275,9 @@
     uint32_t load_permille = 0,
     uint64_t version = 0,
     uint32_t service_us = 0,
-    uint32_t failure_permille = 0,
     bool inner_failure = false) {
   CallAnswerBuilder builder_(_fbb);
   builder_.add_version(version);
-  builder_.add_failure_permille(failure_permille);
   builder_.add_service_us(service_us);
   builder_.add_load_permille(load_permille);
   builder_.add_body(body);
@@ -2312,7 +2302,6 @@
     uint32_t load_permille = 0,
     uint64_t version = 0,
     uint32_t service_us = 0,
-    uint32_t failure_permille = 0,
     bool inner_failure = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::Header>>(*headers) : 0;
@@ -2326,7 +2315,6 @@
       load_permille,
       version,
       service_us,
-      failure_permille,
       inner_failure);
 }
 
@@ -2339,8 +2327,7 @@
     VT_RETRY_AFTER_MS = 8,
     VT_LOAD_PERMILLE = 10,
     VT_VERSION = 12,
-    VT_SERVICE_US = 14,
-    VT_FAILURE_PERMILLE = 16
+    VT_SERVICE_US = 14
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2360,9 +2347,6 @@
   uint32_t service_us() const {
     return GetField<uint32_t>(VT_SERVICE_US, 0);
   }
-  uint32_t failure_permille() const {
-    return GetField<uint32_t>(VT_FAILURE_PERMILLE, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2372,7 +2356,6 @@
            VerifyField<uint32_t>(verifier, VT_LOAD_PERMILLE, 4) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_SERVICE_US, 4) &&
-           VerifyField<uint32_t>(verifier, VT_FAILURE_PERMILLE, 4) &&
            verifier.EndTable();
   }
 };
@@ -2399,9 +2382,6 @@
   void add_service_us(uint32_t service_us) {
     fbb_.AddElement<uint32_t>(CallRefused::VT_SERVICE_US, service_us, 0);
   }
-  void add_failure_permille(uint32_t failure_permille) {
-    fbb_.AddElement<uint32_t>(CallRefused::VT_FAILURE_PERMILLE, failure_permille, 0);
-  }
   explicit CallRefusedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2420,11 +2400,9 @@
     uint32_t retry_after_ms = 0,
     uint32_t load_permille = 0,
     uint64_t version = 0,
-    uint32_t service_us = 0,
-    uint32_t failure_permille = 0) {
+    uint32_t service_us = 0) {
   CallRefusedBuilder builder_(_fbb);
   builder_.add_version(version);
-  builder_.add_failure_permille(failure_permille);
   builder_.add_service_us(service_us);
   builder_.add_load_permille(load_permille);
   builder_.add_retry_after_ms(retry_after_ms);
@@ -2445,8 +2423,7 @@
     uint32_t retry_after_ms = 0,
     uint32_t load_permille = 0,
     uint64_t version = 0,
-    uint32_t service_us = 0,
-    uint32_t failure_permille = 0) {
+    uint32_t service_us = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   return merlinpier::wire::CreateCallRefused(
       _fbb,
@@ -2455,8 +2432,7 @@
       retry_after_ms,
       load_permille,
       version,
-      service_us,
-      failure_permille);
+      service_us);
 }
 
 struct CallLost FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/LibCalls/admission_queue_test.cpp
+++ b/Tests/LibCalls/admission_queue_test.cpp
@@ -217,6 +217,28 @@
     EXPECT_EQ(decisions[0].verdict, kind::RefuseOverloaded);
 }
 
+// Load pattern: callers that were refused return while new calls keep the target full. Each of them would wait in the
+// queue of one target after another, only to be refused there as well.
+TEST(AdmissionQueue, RefusesALateCallAtOnceWhileLateCallsStarve)
+{
+    auto queue = makeQueue(1, 100);
+    recordKindServiceTime(queue, "list", milliseconds(100));
+    decide(queue, makeKind("running", "list", 1, seconds(5)));
+    auto const makeLate = [](std::string id) {
+        auto returned = makeKind(std::move(id), "list", 1, seconds(3));
+        returned.isLate = true;
+        return returned;
+    };
+    EXPECT_EQ(decide(queue, makeLate("first")), kind::Wait);
+    EXPECT_EQ(decide(queue, makeKind("new", "list", 1, milliseconds(300))), kind::Wait);
+    // "new" overtakes "first", which is refused.
+    ASSERT_EQ(queue.release("running", learning::Ignore, start + milliseconds(100))[0].id, "new");
+    ASSERT_EQ(queue.tick(start + milliseconds(125)).size(), 1u);
+    EXPECT_EQ(queue.offer(makeLate("second"), start + milliseconds(150))[0].verdict, kind::RefuseOverloaded);
+    EXPECT_EQ(queue.offer(makeLate("third"), start + milliseconds(300))[0].verdict, kind::Wait)
+        << "the capacity left for late calls is not tried again";
+}
+
 TEST(AdmissionQueue, KeepsALateCallThatNoCallOvertakes)
 {
     auto queue = makeQueue(1, 100);
--- a/Tests/LibWire/arbitrary_messages.h
+++ b/Tests/LibWire/arbitrary_messages.h
@@ -36,7 +36,6 @@
         .loadPermille = drawCount(),
         .version = drawNumber(),
         .serviceUs = drawCount(),
-        .failurePermille = drawCount(),
         .isInnerFailure = drawBelow(2) == 1 };
 }
 
@@ -47,8 +46,7 @@
         .retryAfterMs = drawCount(),
         .loadPermille = drawCount(),
         .version = drawNumber(),
-        .serviceUs = drawCount(),
-        .failurePermille = drawCount() };
+        .serviceUs = drawCount() };
 }
 
 inline call_request drawRequest()
