--- a/Libraries/LibCalls/admission_queue.h
+++ b/Libraries/LibCalls/admission_queue.h
@@ -65,7 +65,8 @@
 // their objective come last, so that after an outage retrying callers use only the capacity that new calls leave. A
 // late call that has been overtaken by as many calls as there are slots is refused, since it would most likely wait
 // until its deadline without being served; for one service time after that, late calls that would have to wait are
-// refused at once, so that their callers need not wait for the same refusal. A slot is held until release() is called for its call.
+// refused at once, so that their callers need not wait for the same refusal. A slot is held until release() is called
+// for its call.
 class admission_queue {
 public:
     void setLimits(admission_limits const& limits) { m_limits = limits; }
