Daemon, Tests: Log what delays a version, and show that silent connections do

The logs could not tell a store that turns a VM away from a link that went silent: a failed watch or read wrote no line, nor did a link that is opened anew. Both do now (configuration_not_read, peer_link_opening).

--- a/Services/Daemon/configuration_part.cpp
+++ b/Services/Daemon/configuration_part.cpp
@@ -18,6 +18,13 @@
         logInfo("configuration_announced", { { "to", sent.address }, { "version", announce->version } });
 }
 
+// An object that is missing is reported by the distributor's further requests, not here.
+void logFailure(std::string const& key, result<std::optional<stored_object>> const& answer)
+{
+    if (answer.isError())
+        logWarning("configuration_not_read", { { "key", key }, { "reason", answer.failure().message } });
+}
+
 } // namespace
 
 configuration_part::configuration_part(
@@ -82,6 +89,7 @@
             m_hub.sendControl(sent->address, sent->content);
         } else if (auto const* wanted = std::get_if<read_platform_object>(&action)) {
             m_store.read(wanted->key, [this, key = wanted->key](result<std::optional<stored_object>> const& answer) {
+                logFailure(key, answer);
                 std::vector<distribution_action> next;
                 next = m_distributor.didReadPlatform(key, answer, currentTime(), m_generator);
                 carryOut(std::move(next));
@@ -89,6 +97,7 @@
         } else if (auto const* watched = std::get_if<watch_platform_head>(&action)) {
             m_store.watch(headKey, watched->afterRevision, watched->wait,
                 [this](result<std::optional<stored_object>> const& answer) {
+                    logFailure(headKey, answer);
                     std::vector<distribution_action> next;
                     next = m_distributor.didWatchPlatform(answer, currentTime(), m_generator);
                     carryOut(std::move(next));
--- a/Services/Daemon/peer_hub.cpp
+++ b/Services/Daemon/peer_hub.cpp
@@ -339,6 +339,9 @@
                 wanted.address, 0, 0 });
         return;
     }
+    // From the second generation on, the link before was closed or has gone silent.
+    logInfo("peer_link_opening",
+        { { "peer", wanted.address }, { "purpose", purposeName(purpose) }, { "generation", wanted.generation } });
     auto const id = m_transport->connect(parsed.value());
     m_connections[id] = { direction::Opened, purpose, wanted.address, 0, wanted.generation, true };
     table(purpose).didOpen(wanted.address, wanted.generation, id, currentTime());
--- a/Tests/LibDistribution/distribution_simulation.cpp
+++ b/Tests/LibDistribution/distribution_simulation.cpp
@@ -5,6 +5,13 @@
 
 namespace merlinpier {
 
+namespace {
+
+// What the client of the platform lets a watch take beyond its own time.
+constexpr milliseconds watchMargin { 400 };
+
+} // namespace
+
 distributor& distribution_simulation::start(
     std::string const& address, distribution_peers peers, distribution_mode mode)
 {
@@ -97,7 +104,7 @@
         if (auto const* watch = std::get_if<watch_platform_head>(&action)) {
             platformCalls[address].emplace_back("watch");
             ++openWatches[address];
-            this->watch(address, *watch, m_era, now + watch->wait);
+            this->watch(address, { *watch, m_era, now });
         }
         if (auto const* read = std::get_if<read_platform_object>(&action)) {
             platformCalls[address].push_back(read->key);
@@ -130,18 +137,21 @@
     }
 }
 
-void distribution_simulation::watch(
-    std::string const& address, watch_platform_head const& watch, std::uint64_t era, time_point until)
+void distribution_simulation::watch(std::string const& address, open_watch const& open)
 {
     schedule(address, milliseconds(10), [=, this](auto& it) {
+        bool const isSilent = open.startedAt < m_watchesSilentBefore;
         auto const found = readObject(address, headKey);
-        bool const hasChanged
-            = found.isError() || era != m_era || (found.value() && found.value()->revision > watch.afterRevision);
-        if (!hasChanged && now < until) {
-            this->watch(address, watch, era, until);
+        bool const hasChanged = found.isError() || open.era != m_era
+            || (found.value() && found.value()->revision > open.watch.afterRevision);
+        auto const end = open.startedAt + open.watch.wait + (isSilent ? watchMargin : duration::zero());
+        if ((isSilent || !hasChanged) && now < end) {
+            this->watch(address, open);
             return std::vector<distribution_action>();
         }
         --openWatches[address];
+        if (isSilent)
+            return it.didWatchPlatform(error { error_kind::OutcomeUnknown, "no answer in time", "" }, now, m_source);
         return it.didWatchPlatform(found, now, m_source);
     });
 }
--- a/Tests/LibDistribution/distribution_simulation.h
+++ b/Tests/LibDistribution/distribution_simulation.h
@@ -36,6 +36,8 @@
     };
     platform_copy copyPlatform() const { return { m_objects, m_head, m_revision }; }
     void restorePlatform(platform_copy const&);
+    // The connections of all open watches go silent: the watches fail by their time-out, whatever the platform has.
+    void silenceOpenWatches() { m_watchesSilentBefore = now; }
     void run(duration);
     // Whether every daemon applies exactly this version.
     bool allApplied(version_number) const;
@@ -69,7 +71,12 @@
     void perform(std::string const& address, std::vector<distribution_action> const&);
     void schedule(std::string const& address, duration delay, event);
     void send(std::string const& from, send_message const&);
-    void watch(std::string const& address, watch_platform_head const&, std::uint64_t era, time_point until);
+    struct open_watch {
+        watch_platform_head watch;
+        std::uint64_t era { 0 };
+        time_point startedAt {};
+    };
+    void watch(std::string const& address, open_watch const&);
     void sendHeartbeats();
     result<std::optional<stored_object>> readObject(std::string const& address, std::string const& key) const;
 
@@ -80,6 +87,7 @@
     std::uint64_t m_revision { 0 };
     std::uint64_t m_era { 1 };
     std::multimap<time_point, std::pair<std::string, event>> m_scheduledEvents;
+    time_point m_watchesSilentBefore {};
     time_point m_nextHeartbeatAt {};
 };
 
