Daemon, LibNet, platform: Deliver control messages and versions although connections go silent

Cause: a daemon sends control messages on the connection that its peer has opened, if there is one, and nobody watches that end for silence. When open connections go silent without a reset, each pushed version, heartbeat answer and membership update on them is lost for good: the peer notices after its next heartbeat and 3 s more, the kernel after 4 s. And all relays begin their watches of the store at the same moment after each change, for 2.5 s and 0.4 s more, so none of them reads the version before these end. The class of fault: a sender that takes bytes written for bytes received, on a path that only the other side watches.

Change: accepted_links watches accepted connections, as link_table does opened ones (ping after 0.5 s, silent after 1 s instead of 3 s); recent_messages sends what was lost with a connection again on the next one (all control messages tolerate repetition); a silent accepted connection also replaces the link opened to the same peer.

Ruled out as the same: answers on accepted connections for calls, since the origin pings these links while calls are outstanding.

--- a/Libraries/LibNet/link_table.cpp
+++ b/Libraries/LibNet/link_table.cpp
@@ -36,6 +36,17 @@
     return actions;
 }
 
+std::vector<link_action> link_table::replace(std::string const& address, time_point now)
+{
+    std::vector<link_action> actions;
+    auto& link = linkTo(address);
+    if (!link.current || link.opening)
+        return actions;
+    link.isSilent = true;
+    open(link, now, actions);
+    return actions;
+}
+
 void link_table::didOpen(std::string const& address, std::uint64_t generation, connection_id connection, time_point now)
 {
     auto& link = linkTo(address);
--- a/Libraries/LibNet/link_table.h
+++ b/Libraries/LibNet/link_table.h
@@ -76,6 +76,9 @@
     // Something is to be sent to the peer: opens a link unless one is open or opening; link_unreachable if the last
     // attempt failed just now.
     std::vector<link_action> require(std::string const& address, time_point now);
+    // The owner takes the current connection to the peer for silent: opens a new one, and sends nothing on the old one
+    // any more. Does nothing if there is none.
+    std::vector<link_action> replace(std::string const& address, time_point now);
     // The owner carried out an open_connection.
     void didOpen(std::string const& address, std::uint64_t generation, connection_id, time_point now);
     std::vector<link_action> didReceiveHelloAnswer(connection_id, hello_answer const&, time_point now);
--- a/Services/Daemon/peer_hub.cpp
+++ b/Services/Daemon/peer_hub.cpp
@@ -8,11 +8,16 @@
 namespace {
 
 constexpr milliseconds tickPeriod { 25 };
-// Links for control are pinged rarely: heartbeats travel on them anyway.
+// Links for control are pinged rarely: heartbeats travel on them anyway. A version that is sent on a silent link must
+// still be in force in time, so the silence timeout is a fraction of the 2.5 s that a version may take.
 constexpr link_settings controlLinkSettings {
-    .pingPeriod = milliseconds(1000), .silenceTimeout = milliseconds(3000), .connectTimeout = milliseconds(1000)
+    .pingPeriod = milliseconds(500), .silenceTimeout = milliseconds(1000), .connectTimeout = milliseconds(1000)
 };
 constexpr std::size_t maximumWaitingControlMessages = 256;
+// A peer that receives nothing notices it after its next heartbeat, at most 1.1 s later, by the silence timeout, and
+// then opens a new connection.
+constexpr milliseconds recentControlRetention { 2500 };
+constexpr std::size_t maximumRecentControlBytes = 32 * 1024;
 // Calls to the own address travel on no connection, so that their generation never rises.
 constexpr std::uint64_t generationToSelf = 1;
 
@@ -37,6 +42,8 @@
     , m_identity(std::move(identity))
     , m_controlLinks(controlLinkSettings)
     , m_callLinks(link_settings {})
+    , m_acceptedControlLinks(controlLinkSettings)
+    , m_recentControl(recentControlRetention, maximumRecentControlBytes)
 {
 }
 
@@ -82,25 +89,56 @@
 
 void peer_hub::sendControl(std::string const& address, message const& content)
 {
-    std::string frame = encodeMessage(content);
-    std::vector<event> events;
+    sendControlFrame(address, encodeMessage(content));
+}
+
+void peer_hub::sendControlFrame(std::string const& address, std::string frame)
+{
+    auto const now = currentTime();
     if (auto const accepted = m_acceptedControl.find(address); accepted != m_acceptedControl.end()) {
+        m_acceptedControlLinks.didSend(accepted->second, now);
         sendControlOn(accepted->second, std::move(frame));
         return;
     }
     if (auto const link = m_controlLinks.current(address)) {
         sendControlOn(link->connection, std::move(frame));
-        m_controlLinks.didSend(address, currentTime());
+        m_controlLinks.didSend(address, now);
         return;
     }
     auto& waiting = m_waitingControl[address];
     if (waiting.size() >= maximumWaitingControlMessages)
         waiting.pop_front();
     waiting.push_back(std::move(frame));
-    carryOut(connection_purpose::Control, m_controlLinks.require(address, currentTime()), events);
+    std::vector<event> events;
+    carryOut(connection_purpose::Control, m_controlLinks.require(address, now), events);
     report(events);
 }
 
+void peer_hub::resendControl(connection_id lost, std::string const& address)
+{
+    for (auto& frame : m_recentControl.take(lost, currentTime()))
+        sendControlFrame(address, std::move(frame));
+}
+
+void peer_hub::closeSilentConnections()
+{
+    for (auto const& action : m_acceptedControlLinks.tick(currentTime())) {
+        if (auto const* asked = std::get_if<send_ping>(&action)) {
+            sendOn(asked->connection, ping { asked->number });
+            continue;
+        }
+        auto const silent = std::get<close_connection>(action).connection;
+        if (auto const known = find(silent)) {
+            logInfo("peer_connection_silent", { { "peer", known->address } });
+            // What silenced this connection has most likely silenced the one that this daemon opened, too.
+            std::vector<event> events;
+            carryOut(connection_purpose::Control, m_controlLinks.replace(known->address, currentTime()), events);
+            report(events);
+        }
+        m_transport->close(silent);
+    }
+}
+
 std::optional<std::uint64_t> peer_hub::sendCall(std::string const& address, call_request call)
 {
     if (address == m_identity.address) {
@@ -232,8 +270,9 @@
     known.instance = greeting.instance;
     known.generation = greeting.generation;
     known.hasSaidHello = true;
+    connection_id formerControl = 0;
     if (greeting.purpose == connection_purpose::Control) {
-        m_acceptedControl[greeting.address] = id;
+        formerControl = std::exchange(m_acceptedControl[greeting.address], id);
     } else {
         auto& newest = m_acceptedCalls[greeting.instance];
         auto const older = m_connections.find(newest);
@@ -241,6 +280,8 @@
             newest = id;
     }
     sendOn(id, hello_answer { m_identity.vm, m_identity.instance, greeting.generation });
+    // The peer has given up the connection that this one replaces, if there is one.
+    resendControl(formerControl, greeting.address);
 }
 
 void peer_hub::didReceiveFromPeer(connection_id id, connection const& known, message content)
@@ -249,6 +290,7 @@
     if (auto const* asked = std::get_if<ping>(&content)) {
         sendOn(id, pong { asked->number });
     }
+    m_acceptedControlLinks.didReceive(id);
     if (known.way == direction::Opened) {
         std::vector<event> events;
         auto& links = table(known.purpose);
@@ -283,6 +325,7 @@
     logInfo("peer_connection_ended",
         { { "peer", known.address }, { "purpose", purposeName(known.purpose) },
             { "opened_by", known.way == direction::Opened ? "this" : "peer" }, { "reason", reason.text() } });
+    m_acceptedControlLinks.didClose(id);
     if (known.way == direction::Opened) {
         carryOut(known.purpose, table(known.purpose).didClose(id, currentTime()), events);
     } else {
@@ -293,11 +336,14 @@
             newest != m_acceptedCalls.end() && newest->second == id)
             m_acceptedCalls.erase(newest);
     }
+    if (known.purpose == connection_purpose::Control)
+        resendControl(id, known.address);
     report(events);
 }
 
 void peer_hub::tick()
 {
+    closeSilentConnections();
     std::vector<event> events;
     carryOut(connection_purpose::Control, m_controlLinks.tick(currentTime()), events);
     carryOut(connection_purpose::Calls, m_callLinks.tick(currentTime()), events);
@@ -363,6 +409,7 @@
 void peer_hub::sendControlOn(connection_id id, std::string frame)
 {
     m_controlBytes += frame.size() + framePrefixBytes;
+    m_recentControl.didSend(id, frame, currentTime());
     m_transport->send(id, std::move(frame));
 }
 
--- a/Services/Daemon/peer_hub.h
+++ b/Services/Daemon/peer_hub.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <LibLoop/event_loop.h>
+#include <LibNet/accepted_links.h>
 #include <LibNet/link_table.h>
+#include <LibNet/recent_messages.h>
 #include <LibNet/transport.h>
 #include <LibWire/message.h>
 #include <deque>
@@ -44,7 +46,8 @@
 
 // All connections with other daemons: one link for control and one for calls to each peer that is talked to, over one
 // transport. Calls for the own address reach the listener without a connection. Control messages wait while their link
-// opens; calls wait by themselves.
+// opens, and are sent again if the link was lost soon after they were sent, so they may arrive twice; calls wait by
+// themselves.
 class peer_hub final : public transport_listener {
 public:
     // The listener must outlive the hub.
@@ -96,6 +99,11 @@
     void carryOut(connection_purpose, std::vector<link_action> const&, std::vector<event>&);
     void open(connection_purpose, open_connection const&, std::vector<event>&);
     void flushControl(std::string const& address);
+    // Sends the encoded message as sendControl() does.
+    void sendControlFrame(std::string const& address, std::string frame);
+    // Sends again what was lately sent on a connection for control that is lost: it may not have arrived.
+    void resendControl(connection_id, std::string const& address);
+    void closeSilentConnections();
     void sendOn(connection_id, message const&);
     // Hands a message to the listener in this turn of the loop, after the running callback.
     void deliverToSelf(message, bool isFromTarget);
@@ -109,6 +117,8 @@
     hub_identity m_identity;
     link_table m_controlLinks;
     link_table m_callLinks;
+    accepted_links m_acceptedControlLinks;
+    recent_messages m_recentControl;
     std::map<connection_id, connection> m_connections;
     // The newest accepted connection of each peer.
     std::map<std::string, connection_id> m_acceptedControl;
--- a/Tests/LibNet/link_table_test.cpp
+++ b/Tests/LibNet/link_table_test.cpp
@@ -244,4 +244,16 @@
         (actions { link_lost { peer, 2 }, link_ready { peer, 12, 3, firstInstance }, close_connection { 11 } }));
 }
 
+TEST_F(LinkTableTest, ReplacesALinkThatItsOwnerTakesForSilent)
+{
+    EXPECT_EQ(m_table.replace(peer, at(0)), actions {});
+    m_table.require(peer, at(0));
+    makeReady(1, 10, firstInstance, 5);
+    EXPECT_EQ(m_table.replace(peer, at(10)), (actions { open_connection { peer, 2 } }));
+    EXPECT_EQ(m_table.current(peer), std::nullopt);
+    EXPECT_EQ(m_table.replace(peer, at(15)), actions {});
+    EXPECT_EQ(makeReady(2, 11, firstInstance, 20),
+        (actions { link_lost { peer, 1 }, link_ready { peer, 11, 2, firstInstance }, close_connection { 10 } }));
+}
+
 } // namespace merlinpier
--- a/Tests/LibDistribution/silent_watches_test.cpp
+++ b/Tests/platform/silent_watches_test.cpp
@@ -1,11 +1,11 @@
-#include "distribution_simulation.h"
-
 #include <Tests/LibConfiguration/configuration_samples.h>
+#include <Tests/LibDistribution/distribution_simulation.h>
 #include <gtest/gtest.h>
+#include <platform/sidecar_settings.h>
 #include <string>
 
 // The connections of all watches on the platform go silent at once. After each change, the relays' watches begin at the
-// same moment, so without a spread of their ends all of them would stay silent for the whole time of a watch.
+// same moment, so all of them are silent for the whole time of a watch.
 
 namespace merlinpier {
 
@@ -13,10 +13,6 @@
 
 constexpr int zoneCount = 4;
 constexpr int relaysPerZone = 2;
-// The sidecar's settings.
-constexpr milliseconds watchTimeout { 2500 };
-constexpr milliseconds watchDelayAfterChange { 300 };
-constexpr milliseconds peerRequestDelay { 600 };
 // A version that is accepted right after the silence has to be in force when the VMs count as connected again. The
 // simulation carries it in no time; real links need up to the transfer time.
 constexpr milliseconds acceptedAfterSilence { 100 };
@@ -60,9 +56,7 @@
 {
     for (int seed = 1; seed <= seeds; ++seed) {
         distribution_simulation simulation(static_cast<std::uint64_t>(seed));
-        simulation.settings.watchTimeout = watchTimeout;
-        simulation.settings.watchDelayAfterChange = watchDelayAfterChange;
-        simulation.settings.peerRequestDelay = peerRequestDelay;
+        simulation.settings = platform::daemonSettingsFrom({}, 0).distribution;
         for (int zone = 0; zone < zoneCount; ++zone) {
             for (int number = 0; number < relaysPerZone; ++number)
                 simulation.start(relayName(zone, number), peersOf(zone, number));
@@ -72,7 +66,7 @@
         ASSERT_TRUE(simulation.allApplied(first));
         // All relays learn of a change at the same moment and begin their next watches together.
         simulation.commit(answersWith(2));
-        simulation.run(watchDelayAfterChange + milliseconds(50));
+        simulation.run(simulation.settings.watchDelayAfterChange + milliseconds(50));
         simulation.silenceOpenWatches();
         simulation.run(acceptedAfterSilence);
         auto const last = simulation.commit(answersWith(3));
