--- a/Libraries/LibCalls/admission_queue.cpp
+++ b/Libraries/LibCalls/admission_queue.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t permilleScale = 1000;
 // A call is short if the mean service time of the running calls is at least this many times its own.
 constexpr int shortCallFactor = 3;
+// The longest wait for a request limit that the load shows, in service times.
+constexpr double maximumLoadPerSlot = 1000;
 
 } // namespace
 
@@ -26,7 +28,7 @@
     using kind = admission_decision::kind;
     std::vector<admission_decision> decisions;
     auto const ahead = callsAheadOf(request, now);
-    if (m_limits.isUnlimited || (ahead == 0 && hasSlotFor(request.callClass))) {
+    if (m_limits.isUnlimited || (ahead == 0 && hasSlotFor(request.callClass) && m_limiter.maySend(now))) {
         // A free slot is granted regardless of the estimated service time: otherwise an estimate that is too long would
         // cause every call to be refused and would never be corrected.
         if (!m_limits.isUnlimited && now + m_limits.deadlineMargin >= request.deadline)
@@ -34,18 +36,18 @@
         start(request, now, decisions);
         return decisions;
     }
-    auto const wait = expectedWait(ahead);
+    auto const wait = expectedWait(ahead, now);
     if (!canMeetDeadline(request, wait, now))
         return { refuse(request.id, kind::RefuseDeadline, now) };
     if (exceedsLateAllowance(request, wait, now) || isExpectedToStarve(request, now))
-        return { refuse(request.id, kind::RefuseOverloaded, now) };
+        return { refuse(request.id, capacityRefusal(ahead, now), now) };
     if (queued() >= m_limits.queueLimit) {
         // The call that would be served last is displaced; among equals it is the newest.
         auto const last = std::min_element(m_waiting.rbegin(), m_waiting.rend(),
             [&](auto const& first, auto const& second) { return precedes(second.request, first.request, now); });
         if (last == m_waiting.rend() || !precedes(request, last->request, now))
-            return { refuse(request.id, kind::RefuseOverloaded, now) };
-        decisions.push_back(refuse(last->request.id, kind::RefuseOverloaded, now));
+            return { refuse(request.id, capacityRefusal(ahead, now), now) };
+        decisions.push_back(refuse(last->request.id, capacityRefusal(queued(), now), now));
         m_waiting.erase(std::next(last).base());
     }
     m_waiting.push_back({ request });
@@ -53,9 +55,9 @@
     return decisions;
 }
 
-bool admission_queue::hasFreeSlot(call_class callClass) const
+bool admission_queue::canStart(call_class callClass, time_point now) const
 {
-    return m_limits.isUnlimited || (m_waiting.empty() && hasSlotFor(callClass));
+    return m_limits.isUnlimited || (m_waiting.empty() && hasSlotFor(callClass) && m_limiter.maySend(now));
 }
 
 std::vector<admission_decision> admission_queue::release(std::string const& id, learning mode, time_point now)
@@ -94,10 +96,18 @@
     return decisions;
 }
 
-std::uint32_t admission_queue::loadPermille() const
+std::uint32_t admission_queue::loadPermille(time_point now) const
 {
-    auto const slots = std::max<std::size_t>(1, m_limits.slots);
-    return static_cast<std::uint32_t>((running() + queued()) * 1000 / slots);
+    double const slots = std::max<double>(1, m_limits.slots);
+    double calls = static_cast<double>(running() + queued());
+    std::chrono::duration<double> const limitWait = m_limiter.expectedWait(queued(), now);
+    std::chrono::duration<double> const serviceTime = serviceTimeOfRunning();
+    if (limitWait.count() > 0) {
+        // The calls that the slots would end during the wait, ahead of a further one.
+        auto const perSlot = serviceTime.count() > 0 ? std::min(limitWait / serviceTime, maximumLoadPerSlot) : 1.0;
+        calls = std::max(calls, slots - 1 + slots * perSlot);
+    }
+    return static_cast<std::uint32_t>(calls * permilleScale / slots);
 }
 
 // A report starts only if a third of the slots stays free for interactive calls and confirmations, since a report may
@@ -108,9 +118,24 @@
     return running() + (callClass == call_class::Report ? reserve : 0) < m_limits.slots;
 }
 
+duration admission_queue::expectedWait(std::size_t callsAhead, time_point now) const
+{
+    auto const limitWait = m_limiter.expectedWait(callsAhead, now);
+    // With a request limit, calls may wait although slots are free.
+    bool const hasFreeSlots = m_limiter.limit() && running() + callsAhead < m_limits.slots;
+    return hasFreeSlots ? limitWait : std::max(limitWait, expectedWaitForSlot(callsAhead));
+}
+
+admission_decision::kind admission_queue::capacityRefusal(std::size_t callsAhead, time_point now) const
+{
+    bool const isLimitBinding = m_limiter.expectedWait(callsAhead, now) > duration::zero()
+        && m_limiter.expectedWait(callsAhead, now) >= expectedWait(callsAhead, now);
+    return isLimitBinding ? admission_decision::kind::RefuseLimit : admission_decision::kind::RefuseOverloaded;
+}
+
 // Expected wait of a call behind the given number of waiting calls when every slot is taken: slots become free at the
 // rate of slots / mean service time of the running calls.
-duration admission_queue::expectedWait(std::size_t callsAhead) const
+duration admission_queue::expectedWaitForSlot(std::size_t callsAhead) const
 {
     return serviceTimeOfRunning() * (callsAhead + 1) / std::max<std::uint32_t>(1, m_limits.slots);
 }
@@ -148,13 +173,14 @@
     auto const ahead = queued() + static_cast<std::size_t>(m_recentRefusals);
     m_recentRefusals += 1;
     m_refusedAt = now;
-    auto const drain = std::chrono::ceil<milliseconds>(expectedWait(ahead));
+    auto const drain = std::chrono::ceil<milliseconds>(expectedWait(ahead, now));
     return drain > milliseconds(0) ? std::min(drain, maximumRetryAfter) : defaultRetryAfter;
 }
 
 void admission_queue::start(
     admission_request const& request, time_point now, std::vector<admission_decision>& decisions)
 {
+    m_limiter.didSend(now);
     m_running[request.id] = { request.kind.empty() ? className(request.callClass) : request.kind, now };
     decisions.push_back({ request.id, admission_decision::kind::Run, milliseconds(0) });
 }
@@ -166,7 +192,7 @@
         auto const next = std::min_element(m_waiting.begin(), m_waiting.end(),
             [&](auto const& first, auto const& second) { return precedes(first.request, second.request, now); });
         // Every call that sorts after a report is a report as well, so no other waiting call has a slot either.
-        if (!hasSlotFor(next->request.callClass))
+        if (!hasSlotFor(next->request.callClass) || !m_limiter.maySend(now))
             return;
         start(next->request, now, decisions);
         std::for_each(m_waiting.begin(), next, [](waiting_call& earlier) { ++earlier.overtakenBy; });
--- a/Libraries/LibCalls/admission_queue.h
+++ b/Libraries/LibCalls/admission_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCalls/request_limiter.h>
 #include <LibCore/time.h>
 #include <LibRouting/service_times.h>
 #include <LibWire/call_messages.h>
@@ -46,7 +47,8 @@
 
 // The decision about a call that requested a slot or was waiting for one.
 struct admission_decision {
-    enum class kind { Run, Wait, RefuseOverloaded, RefuseDeadline };
+    // RefuseLimit: the target has free slots, but its announced limit on requests is used up.
+    enum class kind { Run, Wait, RefuseOverloaded, RefuseLimit, RefuseDeadline };
 
     std::string id;
     kind verdict { kind::Run };
@@ -56,9 +58,9 @@
     bool operator==(admission_decision const&) const = default;
 };
 
-// Admission control of one target: its slots and a short queue in front of them. A call that is expected to miss its
-// deadline, or to miss its latency objective by more than the late allowance, is refused at once; the expectation is
-// based on the service times measured so far.
+// Admission control of one target: its slots, the limit on requests that it has announced, and a short queue in front
+// of both. A call that is expected to miss its deadline, or to miss its latency objective by more than the late
+// allowance, is refused at once; the expectation is based on the service times measured so far.
 //
 // Queue order: calls of class Report come after interactive calls and confirmations, then calls are ordered by
 // priority. Among equals the earliest objective is served first (EDF, Liu and Layland 1973), and calls that will miss
@@ -71,12 +73,18 @@
 public:
     void setLimits(admission_limits const& limits) { m_limits = limits; }
     admission_limits const& limits() const { return m_limits; }
+    // The limit on requests that the target has announced, in requests a second; nothing ends it.
+    void setRequestLimit(std::optional<double> requestsPerSecond, time_point now)
+    {
+        m_limiter.setLimit(requestsPerSecond, now);
+    }
+    std::optional<double> requestLimit() const { return m_limiter.limit(); }
 
     // Decides about a new call. The first decision is about this call, further ones are about waiting calls that it
     // displaced from the full queue.
     std::vector<admission_decision> offer(admission_request const&, time_point now);
     // Whether a call offered now would start at once.
-    bool hasFreeSlot(call_class) const;
+    bool canStart(call_class, time_point now) const;
     // Frees the slot of a call that has ended and starts waiting calls. With Learn, the call's service time is added to
     // the estimate; use Ignore for calls that were aborted, refused or lost.
     enum class learning { Learn, Ignore };
@@ -85,12 +93,15 @@
     std::vector<admission_decision> refuseWaiting(time_point now);
     // Removes a waiting call from the queue; returns false if it is not waiting.
     bool withdraw(std::string const& id);
-    // Refuses waiting calls that can no longer meet their deadline or are starving, and starts others in free slots.
+    // Refuses waiting calls that can no longer meet their deadline or are starving, and starts others in free slots, as
+    // far as the request limit allows.
     std::vector<admission_decision> tick(time_point now);
 
     std::size_t running() const { return m_running.size(); }
     std::size_t queued() const { return m_waiting.size(); }
-    std::uint32_t loadPermille() const;
+    // Slots in use and calls queued, in thousandths of the slots; or more if the request limit makes a call wait: the
+    // load under which slots alone would make it wait as long.
+    std::uint32_t loadPermille(time_point now) const;
     // Estimated mean service time; zero before the first call of the kind or class has ended.
     duration serviceTime(std::string const& kind, call_class) const;
 
@@ -106,7 +117,10 @@
     };
 
     bool hasSlotFor(call_class) const;
-    duration expectedWait(std::size_t callsAhead) const;
+    duration expectedWait(std::size_t callsAhead, time_point now) const;
+    duration expectedWaitForSlot(std::size_t callsAhead) const;
+    // The reason to refuse a call that would have to wait too long.
+    admission_decision::kind capacityRefusal(std::size_t callsAhead, time_point now) const;
     duration serviceTimeOfRunning() const;
     duration serviceTime(admission_request const&) const;
     admission_decision refuse(std::string const& id, admission_decision::kind, time_point now);
@@ -126,6 +140,7 @@
     std::size_t callsAheadOf(admission_request const&, time_point now) const;
 
     admission_limits m_limits;
+    request_limiter m_limiter;
     std::map<std::string, running_call> m_running;
     // In order of arrival; precedes() gives the order of service.
     std::deque<waiting_call> m_waiting;
--- a/Libraries/LibCalls/call_client_retries.cpp
+++ b/Libraries/LibCalls/call_client_retries.cpp
@@ -42,7 +42,7 @@
 {
     if (!hasReachedTarget(refusal.reason))
         --record.arrivals;
-    if (record.attempt->isProbe && refusal.reason == refusal_reason::Overloaded) {
+    if (record.attempt->isProbe && isCapacityRefusal(refusal.reason)) {
         record.probed.insert(record.attempt->target.id);
         endAttempt(record, ending, now);
         send(record, now, random, out);
@@ -58,7 +58,7 @@
     auto const target = record.attempt->target.id;
     endAttempt(record, ending, now);
     // A call that was late on arrival is refused sooner than others, so its refusal says little about the load.
-    if (refusal.reason == refusal_reason::Overloaded && !record.isLate)
+    if (isCapacityRefusal(refusal.reason) && !record.isLate)
         m_chooser.didRefuseForLoad(target, record.policy.name, milliseconds(refusal.retryAfterMs), now);
     // A budget shared by all daemons bounds the calls that arrive at targets, not refusals by their daemons.
     bool const needsBudget
--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -12,6 +12,18 @@
 // A target reports a failure at once when a call that it needs has failed.
 constexpr milliseconds innerFailureDelay { 50 };
 
+refusal_reason reasonOf(admission_decision::kind refusal)
+{
+    switch (refusal) {
+    case admission_decision::kind::RefuseDeadline:
+        return refusal_reason::DeadlineTooShort;
+    case admission_decision::kind::RefuseLimit:
+        return refusal_reason::RequestLimit;
+    default:
+        return refusal_reason::Overloaded;
+    }
+}
+
 } // namespace
 
 call_server::call_server(call_server_settings settings)
@@ -46,7 +58,8 @@
         refuse(waiter, call, refusal_reason::OtherInstance, retryAfterRouteChange, now, actions);
         return actions;
     }
-    if (handleKnownAttempt(origin, *attempt, call, now, actions) || joinEarlierRun(origin, *attempt, call, actions))
+    if (handleKnownAttempt(origin, *attempt, call, now, actions)
+        || joinEarlierRun(origin, *attempt, call, now, actions))
         return actions;
 
     if (auto const reason = reasonToRefuse(call, targets, configuration)) {
@@ -55,7 +68,7 @@
     }
     auto const* serviceConfiguration = configuration.service(call.service);
     auto& queue = queueOf(call, *serviceConfiguration, *targets.find(call.target));
-    if (call.onlyIfFree && !queue.hasFreeSlot(call.callClass)) {
+    if (call.onlyIfFree && !queue.canStart(call.callClass, now)) {
         refuse(waiter, call, refusal_reason::Overloaded, retryAfterRouteChange, now, actions);
         return actions;
     }
@@ -86,7 +99,7 @@
 {
     call_waiter const waiter { origin.instance, call.id };
     if (auto const* entry = m_ledger.findWaiter(waiter, attempt.call)) {
-        reply(*entry, waiter, actions);
+        reply(*entry, waiter, now, actions);
         return true;
     }
     auto& window = m_fence.window(origin.instance, now);
@@ -104,7 +117,7 @@
 
 // Lets an attempt share the run of an earlier attempt of the same call; false if the call has to run.
 bool call_server::joinEarlierRun(call_origin const& origin, attempt_identifier const& attempt, call_request const& call,
-    std::vector<server_action>& actions)
+    time_point now, std::vector<server_action>& actions)
 {
     auto* entry = m_ledger.find(attempt.call);
     if (!entry)
@@ -116,7 +129,7 @@
     }
     call_waiter const waiter { origin.instance, call.id };
     entry->waiters.push_back(waiter);
-    reply(*entry, waiter, actions);
+    reply(*entry, waiter, now, actions);
     return true;
 }
 
@@ -226,12 +239,12 @@
     auto const decisions = m_queues[call.target].release(id, admission_queue::learning::Learn, now);
     bool const hasFailed = isFailureStatus(answer.status);
     answer.isInnerFailure = hasFailed && m_lastInnerFailure && now - *m_lastInnerFailure <= innerFailureDelay;
-    answer.loadPermille = loadOf(call.target);
+    answer.loadPermille = loadOf(call.target, now);
     answer.serviceUs = serviceUsOf(call);
     answer.version = m_version;
     m_ledger.finish(id, std::move(answer), now);
     for (auto const& waiter : entry->waiters)
-        reply(*entry, waiter, actions);
+        reply(*entry, waiter, now, actions);
     if (entry->waiters.empty() && !entry->isKeyed)
         m_ledger.erase(id);
     apply(decisions, now, actions);
@@ -266,6 +279,18 @@
     return actions;
 }
 
+std::vector<server_action> call_server::setRequestLimit(
+    std::string const& target, std::optional<double> requestsPerSecond, time_point now)
+{
+    std::vector<server_action> actions;
+    if (!requestsPerSecond && !m_queues.contains(target))
+        return actions;
+    auto& queue = m_queues[target];
+    queue.setRequestLimit(requestsPerSecond, now);
+    apply(queue.tick(now), now, actions);
+    return actions;
+}
+
 std::vector<server_action> call_server::didLose(std::string const& id, time_point now)
 {
     std::vector<server_action> actions;
@@ -275,7 +300,7 @@
     auto const decisions = m_queues[entry->call.target].release(id, admission_queue::learning::Ignore, now);
     m_ledger.markLost(*entry, now);
     for (auto const& waiter : entry->waiters)
-        reply(*entry, waiter, actions);
+        reply(*entry, waiter, now, actions);
     if (entry->waiters.empty() && !entry->isKeyed)
         m_ledger.erase(id);
     apply(decisions, now, actions);
@@ -316,12 +341,12 @@
 
 std::size_t call_server::unsettled() const { return m_ledger.unsettled(); }
 
-std::map<std::string, target_load> call_server::loads() const
+std::map<std::string, target_load> call_server::loads(time_point now) const
 {
     std::map<std::string, target_load> loads;
     for (auto const& [target, queue] : m_queues) {
         loads[target] = { queue.limits().slots, static_cast<std::uint32_t>(queue.running()),
-            static_cast<std::uint32_t>(queue.queued()), queue.loadPermille() };
+            static_cast<std::uint32_t>(queue.queued()), queue.loadPermille(now), queue.requestLimit() };
     }
     return loads;
 }
@@ -343,7 +368,7 @@
     if (auto const attempt = parseAttemptIdentifier(waiter.attempt))
         m_fence.window(waiter.instance, now).markNotRun(attempt->number);
     call_refused const refusal { waiter.attempt, reason, static_cast<std::uint32_t>(retryAfter.count()),
-        loadOf(call.target), m_version, serviceUsOf(call) };
+        loadOf(call.target, now), m_version, serviceUsOf(call) };
     actions.push_back(reply_to_origin { waiter.instance, refusal });
 }
 
@@ -374,18 +399,17 @@
             actions.push_back(run_call { entry->call, entry->targetAddress, left });
             continue;
         }
-        bool const isLate = decision.verdict == kind::RefuseDeadline;
-        auto const reason = isLate ? refusal_reason::DeadlineTooShort : refusal_reason::Overloaded;
-        refuseWaiters(decision.id, reason, decision.retryAfter, now, actions);
+        refuseWaiters(decision.id, reasonOf(decision.verdict), decision.retryAfter, now, actions);
     }
 }
 
-void call_server::reply(ledger_entry const& entry, call_waiter const& waiter, std::vector<server_action>& actions) const
+void call_server::reply(
+    ledger_entry const& entry, call_waiter const& waiter, time_point now, std::vector<server_action>& actions) const
 {
     if (!entry.hasEnded())
         return;
     if (!entry.answer) {
-        call_lost const lost { waiter.attempt, loadOf(entry.call.target), m_version };
+        call_lost const lost { waiter.attempt, loadOf(entry.call.target, now), m_version };
         actions.push_back(reply_to_origin { waiter.instance, lost });
         return;
     }
@@ -394,10 +418,10 @@
     actions.push_back(reply_to_origin { waiter.instance, std::move(answer) });
 }
 
-std::uint32_t call_server::loadOf(std::string const& target) const
+std::uint32_t call_server::loadOf(std::string const& target, time_point now) const
 {
     auto const found = m_queues.find(target);
-    return found == m_queues.end() ? 0 : found->second.loadPermille();
+    return found == m_queues.end() ? 0 : found->second.loadPermille(now);
 }
 
 std::uint32_t call_server::serviceUsOf(call_request const& call) const
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -70,6 +70,8 @@
     std::uint32_t running { 0 };
     std::uint32_t queued { 0 };
     std::uint32_t loadPermille { 0 };
+    // The limit on requests that the target has announced, in requests a second.
+    std::optional<double> requestLimit;
 
     bool operator==(target_load const&) const = default;
 };
@@ -96,6 +98,10 @@
     std::vector<server_action> didRefuse(std::string const& id, refusal_reason, time_point now);
     // The request may have run; the target was lost before its answer was complete.
     std::vector<server_action> didLose(std::string const& id, time_point now);
+    // The target announced a limit on the requests that it takes from all callers together, in requests a second, or
+    // that it has none any more.
+    std::vector<server_action> setRequestLimit(
+        std::string const& target, std::optional<double> requestsPerSecond, time_point now);
     // A call that a target of this VM made has failed; a run that reports a failure soon after has failed because of
     // it.
     void didFailInnerCall(time_point now) { m_lastInnerFailure = now; }
@@ -111,15 +117,15 @@
     std::size_t queued() const;
     // Number of calls that are running, queued, or have an unacknowledged answer; a planned stop waits until it is 0.
     std::size_t unsettled() const;
-    std::map<std::string, target_load> loads() const;
+    std::map<std::string, target_load> loads(time_point now) const;
 
 private:
     admission_queue& queueOf(call_request const&, service_configuration const&, target_announcement const&);
     bool wasAdmitted(call_waiter const&, attempt_identifier const&, time_point now);
     bool handleKnownAttempt(call_origin const&, attempt_identifier const&, call_request const&, time_point now,
         std::vector<server_action>&);
-    bool joinEarlierRun(
-        call_origin const&, attempt_identifier const&, call_request const&, std::vector<server_action>&);
+    bool joinEarlierRun(call_origin const&, attempt_identifier const&, call_request const&, time_point now,
+        std::vector<server_action>&);
     std::optional<refusal_reason> reasonToRefuse(
         call_request const&, local_targets const&, configuration_set const&) const;
     void refuse(call_waiter const&, call_request const&, refusal_reason, milliseconds retryAfter, time_point now,
@@ -127,9 +133,9 @@
     void refuseWaiters(
         std::string const& call, refusal_reason, milliseconds retryAfter, time_point now, std::vector<server_action>&);
     void apply(std::vector<admission_decision> const&, time_point now, std::vector<server_action>&);
-    void reply(ledger_entry const&, call_waiter const&, std::vector<server_action>&) const;
+    void reply(ledger_entry const&, call_waiter const&, time_point now, std::vector<server_action>&) const;
     call_status statusOf(call_origin const&, std::string const& attempt, time_point now);
-    std::uint32_t loadOf(std::string const& target) const;
+    std::uint32_t loadOf(std::string const& target, time_point now) const;
     std::uint32_t serviceUsOf(call_request const&) const;
 
     call_server_settings m_settings;
--- a/Libraries/LibCalls/local_targets.cpp
+++ b/Libraries/LibCalls/local_targets.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
+#include <cmath>
 
 namespace merlinpier {
 
@@ -11,6 +12,9 @@
 // How long the retirement of a target that is not known yet is remembered. The platform lets some retired targets run
 // on for many seconds; they end within this time.
 constexpr milliseconds departureRetention { 30000 };
+// A change of a target's limit is published if it is larger than this share of the published one.
+constexpr double publishedLimitStep = 0.25;
+constexpr double milli = 1000;
 
 bool isIpv4AddressWithPort(std::string const& text)
 {
@@ -74,6 +78,11 @@
     bool const isRenewal = known != m_entries.end() && known->second.announcement.licence == announcement.licence
         && known->second.announcement.startedAt == announcement.startedAt;
     if (!isRenewal) {
+        auto const limit = m_requestLimits.find(announcement.id);
+        bool const isSameIncarnation = limit != m_requestLimits.end() && announcement.startedAt > 0
+            && limit->second.startedAt == announcement.startedAt;
+        if (limit != m_requestLimits.end() && !isSameIncarnation)
+            m_requestLimits.erase(limit);
         auto& added = m_entries[announcement.id] = { announcement, highestKnownClaim + 1, now + m_lease };
         if (announcement.state == target_state::Draining)
             added.drain();
@@ -164,6 +173,51 @@
     return startedAt == 0 || announcement.startedAt <= startedAt;
 }
 
+local_targets::request_limit* local_targets::findLimit(std::string const& id)
+{
+    auto const target = m_entries.find(id);
+    if (target == m_entries.end())
+        return nullptr;
+    auto& limit = m_requestLimits[id];
+    limit.startedAt = target->second.announcement.startedAt;
+    return &limit;
+}
+
+bool local_targets::setRequestLimit(
+    std::string const& id, std::optional<double> requestsPerSecond, time_point sentAt, time_point now)
+{
+    auto* limit = findLimit(id);
+    if (!limit || (!requestsPerSecond && sentAt < limit->namedAt))
+        return false;
+    if (requestsPerSecond)
+        limit->namedAt = now;
+    bool const hasChanged = limit->requestsPerSecond != requestsPerSecond;
+    limit->requestsPerSecond = requestsPerSecond;
+    bool const isLargeStep = limit->published.has_value() != requestsPerSecond.has_value()
+        || (requestsPerSecond
+            && std::abs(*requestsPerSecond - *limit->published) > publishedLimitStep * *limit->published);
+    if (isLargeStep)
+        limit->published = requestsPerSecond;
+    return hasChanged;
+}
+
+bool local_targets::didLimitBefore(
+    std::string const& id, std::uint64_t startedAt, double requestsPerSecond, time_point now)
+{
+    auto const target = m_entries.find(id);
+    bool const isOtherIncarnation = target != m_entries.end() && target->second.announcement.startedAt != startedAt;
+    if (startedAt == 0 || isOtherIncarnation || m_requestLimits.contains(id))
+        return false;
+    m_requestLimits[id] = { startedAt, requestsPerSecond, requestsPerSecond, now };
+    return true;
+}
+
+std::optional<double> local_targets::requestLimit(std::string const& id) const
+{
+    auto const found = m_requestLimits.find(id);
+    return found == m_requestLimits.end() ? std::nullopt : found->second.requestsPerSecond;
+}
+
 result<empty> local_targets::leave(std::string const& id, time_point)
 {
     if (m_entries.erase(id) == 0)
@@ -210,8 +264,12 @@
         std::uint32_t const slots = configured > 0 ? configured : target.slots;
         auto const incarnation = m_incarnations.find(target.licence);
         bool const isDeparting = incarnation != m_incarnations.end() && incarnation->second.isLeaving;
-        records.push_back({ id, target.service, target.licence, entry.claim, target.state, slots,
-            isDeparting ? target.startedAt : 0 });
+        target_record record { id, target.service, target.licence, entry.claim, target.state, slots,
+            isDeparting ? target.startedAt : 0, target.startedAt };
+        auto const limit = m_requestLimits.find(id);
+        if (limit != m_requestLimits.end() && limit->second.published)
+            record.requestLimitMilli = static_cast<std::uint64_t>(*limit->second.published * milli);
+        records.push_back(std::move(record));
     }
     return records;
 }
--- a/Libraries/LibCalls/local_targets.h
+++ b/Libraries/LibCalls/local_targets.h
@@ -5,6 +5,7 @@
 #include <LibRouting/routing_snapshot.h>
 #include <LibWire/membership_messages.h>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,16 @@
     // It gets no new calls, whatever announcement of it arrives late.
     void didDepartBefore(std::string const& id, std::uint64_t startedAt, time_point now);
     void drainAll(time_point now);
+    // The target named its limit on requests in an answer, in requests a second, or named none. The call that it
+    // answered was sent to it at the given time: a limit ends only with an answer to a call that was sent after the
+    // limit was last named, since answers may overtake each other. Returns whether the limit has changed.
+    bool setRequestLimit(
+        std::string const& id, std::optional<double> requestsPerSecond, time_point sentAt, time_point now);
+    // An earlier process of this daemon knew this limit of the target's incarnation with this start time. It holds
+    // until the target names its limit to this process. Returns whether the limit has changed.
+    bool didLimitBefore(std::string const& id, std::uint64_t startedAt, double requestsPerSecond, time_point now);
+    // The target's limit on requests, in requests a second.
+    std::optional<double> requestLimit(std::string const& id) const;
     // Removes announcements whose lease has expired.
     void tick(time_point now);
     // Another copy holds a higher claim on the licence: the copy here stays Gone until it leaves or its lease expires,
@@ -89,6 +100,18 @@
     };
 
     bool hasDepartedEarly(target_announcement const&, time_point now) const;
+    // The limit on requests of a target's incarnation.
+    struct request_limit {
+        std::uint64_t startedAt { 0 };
+        std::optional<double> requestsPerSecond;
+        // The limit that the records show. It follows the limit in large steps only, since each change of a record is
+        // sent to every daemon.
+        std::optional<double> published;
+        // When the target last named a limit; the epoch if only an earlier process of this daemon knew it.
+        time_point namedAt {};
+    };
+
+    request_limit* findLimit(std::string const& id);
     // Whether a newer announcement of the copy with this licence is known, or the copy has left.
     bool isOutdated(target_announcement const&) const;
     void recordIncarnation(target_announcement const&);
@@ -98,6 +121,8 @@
     std::map<std::string, target_incarnation> m_incarnations;
     // By the target's id.
     std::map<std::string, early_departure> m_earlyDepartures;
+    // By the target's id; kept beyond the lease, for the same incarnation.
+    std::map<std::string, request_limit> m_requestLimits;
 };
 
 } // namespace merlinpier
--- a/Libraries/LibCalls/refusal_rules.cpp
+++ b/Libraries/LibCalls/refusal_rules.cpp
@@ -27,6 +27,8 @@
         return "the target could not be reached; retry after the given time";
     case refusal_reason::Shed:
         return "the target refused the call; retry after the given time";
+    case refusal_reason::RequestLimit:
+        return "the target takes a limited number of requests, which is used up; retry after the given time";
     }
     return "not run";
 }
@@ -34,7 +36,12 @@
 bool isLoadRefusal(refusal_reason reason)
 {
     return reason == refusal_reason::Overloaded || reason == refusal_reason::DeadlineTooShort
-        || reason == refusal_reason::Shed;
+        || reason == refusal_reason::Shed || reason == refusal_reason::RequestLimit;
+}
+
+bool isCapacityRefusal(refusal_reason reason)
+{
+    return reason == refusal_reason::Overloaded || reason == refusal_reason::RequestLimit;
 }
 
 bool hasReachedTarget(refusal_reason reason) { return reason == refusal_reason::Shed; }
--- a/Libraries/LibCalls/refusal_rules.h
+++ b/Libraries/LibCalls/refusal_rules.h
@@ -10,6 +10,9 @@
 // Whether the call was refused because of the target's load.
 bool isLoadRefusal(refusal_reason);
 
+// Whether the target's daemon refused the call for want of a slot or because of the target's request limit.
+bool isCapacityRefusal(refusal_reason);
+
 // Whether the target itself refused the call; all other refusals come from a daemon.
 bool hasReachedTarget(refusal_reason);
 
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -97,8 +97,9 @@
     // The highest configuration version that an earlier run of this VM's daemon is known to have applied; 0 if none is
     // known. Increases as peers' records of this VM arrive.
     std::uint64_t appliedBefore() const { return m_appliedBefore; }
-    // The targets of this VM that were leaving in records of earlier processes of this daemon.
-    std::vector<target_record> const& departedBefore() const { return m_departedBefore; }
+    // The targets of this VM that were leaving, or had a limit on requests, in records of earlier processes of this
+    // daemon.
+    std::vector<target_record> const& restrictedBefore() const { return m_restrictedBefore; }
 
     std::vector<membership_action> tick(time_point now, generator&);
     std::vector<membership_action> didReceive(
@@ -171,7 +172,7 @@
     // The highest version applied by this run of the daemon, whose configuration peers can therefore request from it.
     std::uint64_t m_appliedInThisRun { 0 };
     std::uint64_t m_appliedBefore { 0 };
-    std::vector<target_record> m_departedBefore;
+    std::vector<target_record> m_restrictedBefore;
     // Whether the table's digest has ever been equal to a peer's.
     bool m_hasJoined { false };
     std::optional<time_point> m_startedAt;
--- a/Libraries/LibMembership/member_updates.cpp
+++ b/Libraries/LibMembership/member_updates.cpp
@@ -67,9 +67,10 @@
     bool const isOfEarlierProcess = record.instance != m_self.instance;
     for (auto const& target : record.targets) {
         bool const isKnown
-            = std::find(m_departedBefore.begin(), m_departedBefore.end(), target) != m_departedBefore.end();
-        if (isOfEarlierProcess && target.departedStart > 0 && !isKnown)
-            m_departedBefore.push_back(target);
+            = std::find(m_restrictedBefore.begin(), m_restrictedBefore.end(), target) != m_restrictedBefore.end();
+        bool const isRestricted = target.departedStart > 0 || target.requestLimitMilli;
+        if (isOfEarlierProcess && isRestricted && !isKnown)
+            m_restrictedBefore.push_back(target);
     }
     if (record.incarnation < m_self.incarnation || !supersedes(record, m_self))
         return false;
--- a/Libraries/LibMembership/membership_table.cpp
+++ b/Libraries/LibMembership/membership_table.cpp
@@ -29,6 +29,8 @@
     appendNumber(bytes, static_cast<std::uint64_t>(target.state));
     appendNumber(bytes, target.slots);
     appendNumber(bytes, target.departedStart);
+    appendNumber(bytes, target.startedAt);
+    appendNumber(bytes, target.requestLimitMilli ? *target.requestLimitMilli + 1 : 0);
 }
 
 // Hashes all fields that are ordered by incarnation and sequence, which excludes the applied version.
--- a/Libraries/LibWire/call_messages.h
+++ b/Libraries/LibWire/call_messages.h
@@ -24,6 +24,8 @@
     TargetUnreachable,
     // The target itself turned the call away and vouches that it did not run it.
     Shed,
+    // The limit on requests that the target has announced is used up.
+    RequestLimit,
 };
 
 // What a ledger can say about a call.
--- a/Libraries/LibWire/frames_generated.h
+++ b/Libraries/LibWire/frames_generated.h
@@ -205,11 +205,12 @@
   Unlicensed = 8,
   TargetUnreachable = 9,
   Shed = 10,
+  RequestLimit = 11,
   MIN = Overloaded,
-  MAX = Shed
+  MAX = RequestLimit
 };
 
-inline const Refusal (&EnumValuesRefusal())[11] {
+inline const Refusal (&EnumValuesRefusal())[12] {
   static const Refusal values[] = {
     Refusal::Overloaded,
     Refusal::Draining,
@@ -221,13 +222,14 @@
     Refusal::HopLimit,
     Refusal::Unlicensed,
     Refusal::TargetUnreachable,
-    Refusal::Shed
+    Refusal::Shed,
+    Refusal::RequestLimit
   };
   return values;
 }
 
 inline const char * const *EnumNamesRefusal() {
-  static const char * const names[12] = {
+  static const char * const names[13] = {
     "Overloaded",
     "Draining",
     "UnknownService",
@@ -239,13 +241,14 @@
     "Unlicensed",
     "TargetUnreachable",
     "Shed",
+    "RequestLimit",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameRefusal(Refusal e) {
-  if (flatbuffers::IsOutRange(e, Refusal::Overloaded, Refusal::Shed)) return "";
+  if (flatbuffers::IsOutRange(e, Refusal::Overloaded, Refusal::RequestLimit)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesRefusal()[index];
 }
@@ -570,7 +573,9 @@
     VT_CLAIM = 10,
     VT_STATE = 12,
     VT_SLOTS = 14,
-    VT_DEPARTED_START = 16
+    VT_DEPARTED_START = 16,
+    VT_STARTED_AT = 18,
+    VT_REQUEST_LIMIT = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -593,6 +598,12 @@
   uint64_t departed_start() const {
     return GetField<uint64_t>(VT_DEPARTED_START, 0);
   }
+  uint64_t started_at() const {
+    return GetField<uint64_t>(VT_STARTED_AT, 0);
+  }
+  flatbuffers::Optional<uint64_t> request_limit() const {
+    return GetOptional<uint64_t, uint64_t>(VT_REQUEST_LIMIT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -605,6 +616,8 @@
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint64_t>(verifier, VT_DEPARTED_START, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST_LIMIT, 8) &&
            verifier.EndTable();
   }
 };
@@ -634,6 +647,12 @@
   void add_departed_start(uint64_t departed_start) {
     fbb_.AddElement<uint64_t>(TargetRecord::VT_DEPARTED_START, departed_start, 0);
   }
+  void add_started_at(uint64_t started_at) {
+    fbb_.AddElement<uint64_t>(TargetRecord::VT_STARTED_AT, started_at, 0);
+  }
+  void add_request_limit(uint64_t request_limit) {
+    fbb_.AddElement<uint64_t>(TargetRecord::VT_REQUEST_LIMIT, request_limit);
+  }
   explicit TargetRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -653,8 +672,12 @@
     uint64_t claim = 0,
     merlinpier::wire::TargetState state = merlinpier::wire::TargetState::Starting,
     uint32_t slots = 0,
-    uint64_t departed_start = 0) {
+    uint64_t departed_start = 0,
+    uint64_t started_at = 0,
+    flatbuffers::Optional<uint64_t> request_limit = flatbuffers::nullopt) {
   TargetRecordBuilder builder_(_fbb);
+  if(request_limit) { builder_.add_request_limit(*request_limit); }
+  builder_.add_started_at(started_at);
   builder_.add_departed_start(departed_start);
   builder_.add_claim(claim);
   builder_.add_slots(slots);
@@ -678,7 +701,9 @@
     uint64_t claim = 0,
     merlinpier::wire::TargetState state = merlinpier::wire::TargetState::Starting,
     uint32_t slots = 0,
-    uint64_t departed_start = 0) {
+    uint64_t departed_start = 0,
+    uint64_t started_at = 0,
+    flatbuffers::Optional<uint64_t> request_limit = flatbuffers::nullopt) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto licence__ = licence ? _fbb.CreateString(licence) : 0;
@@ -690,7 +715,9 @@
       claim,
       state,
       slots,
-      departed_start);
+      departed_start,
+      started_at,
+      request_limit);
 }
 
 struct MemberRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibWire/membership_codec.cpp
+++ b/Libraries/LibWire/membership_codec.cpp
@@ -11,8 +11,10 @@
     auto const service = writeText(builder, value.service);
     auto const licence = writeText(builder, value.licence);
     auto const state = static_cast<wire::TargetState>(value.state);
+    auto const limit = value.requestLimitMilli ? flatbuffers::Optional<std::uint64_t>(*value.requestLimitMilli)
+                                               : flatbuffers::Optional<std::uint64_t>();
     return wire::CreateTargetRecord(
-        builder, id, service, licence, value.claim, state, value.slots, value.departedStart);
+        builder, id, service, licence, value.claim, state, value.slots, value.departedStart, value.startedAt, limit);
 }
 
 flatbuffers::Offset<wire::MemberRecord> encodeRecord(
@@ -29,6 +31,11 @@
         value.instance, state, value.appliedVersion, value.refusedVersion, refusedReason, targets, value.linkMbps);
 }
 
+std::optional<std::uint64_t> optionalNumber(flatbuffers::Optional<std::uint64_t> const& value)
+{
+    return value ? std::optional(*value) : std::nullopt;
+}
+
 target_record decodeTarget(wire_reader& reader, wire::TargetRecord const& table)
 {
     return {
@@ -39,6 +46,8 @@
         .state = reader.enumerator<target_state>(table.state()),
         .slots = table.slots(),
         .departedStart = table.departed_start(),
+        .startedAt = table.started_at(),
+        .requestLimitMilli = optionalNumber(table.request_limit()),
     };
 }
 
--- a/Libraries/LibWire/membership_messages.h
+++ b/Libraries/LibWire/membership_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,11 @@
     // Start time of the target's incarnation if that incarnation is leaving on its own account; 0 if it is not, or is
     // only draining because its daemon stops. Tells the daemon's next process which incarnation not to use again.
     std::uint64_t departedStart { 0 };
+    // Start time of the target's incarnation, in milliseconds of its own clock; 0 if it is not known.
+    std::uint64_t startedAt { 0 };
+    // The limit on requests that the target has announced, in thousandths of a request a second, for all callers
+    // together; nothing if it has none. Rounded, so that small changes are not published.
+    std::optional<std::uint64_t> requestLimitMilli;
 
     bool operator==(target_record const&) const = default;
 };
--- a/Services/Daemon/caller_answer.cpp
+++ b/Services/Daemon/caller_answer.cpp
@@ -41,6 +41,8 @@
         return { 503, "target_unreachable", "come back after the time in Retry-After" };
     case refusal_reason::Shed:
         return { 503, "shed", "come back after the time in Retry-After" };
+    case refusal_reason::RequestLimit:
+        return { 503, "limit", "come back after the time in Retry-After; the status names the targets with a limit" };
     }
     return { 503, "refused", "send the request again" };
 }
--- a/Services/Daemon/daemon.cpp
+++ b/Services/Daemon/daemon.cpp
@@ -223,7 +223,7 @@
     m_configuration.setPeers(m_membership.peers());
     m_configuration.raiseFloor(m_membership.appliedBefore());
     m_configuration.setHasContact(m_membership.hasContact());
-    m_targets.didDepartBefore(m_membership.departedBefore());
+    m_targets.didRestrictBefore(m_membership.restrictedBefore());
     m_configuration.tick();
 }
 
--- a/Services/Daemon/membership_part.h
+++ b/Services/Daemon/membership_part.h
@@ -41,8 +41,9 @@
     std::uint64_t highestClaim(std::string const& licence) const;
     // The version that this VM is known to have applied in an earlier life.
     std::uint64_t appliedBefore() const;
-    // The targets that were leaving when an earlier process of this VM's daemon last published them.
-    std::vector<target_record> const& departedBefore() const { return m_member.departedBefore(); }
+    // The targets that were leaving or had a limit on requests when earlier processes of this VM's daemon published
+    // them.
+    std::vector<target_record> const& restrictedBefore() const { return m_member.restrictedBefore(); }
     // Builds a routing snapshot of the table as it is now, and hands it on before the table can change again.
     void buildSnapshot(std::shared_ptr<configuration_set const> const&,
         std::function<void(std::shared_ptr<routing_snapshot const>)> const&) const;
--- a/Services/Daemon/own_target_dialect.cpp
+++ b/Services/Daemon/own_target_dialect.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr char const* notRunHeader = "Merlinpier-Not-Run";
+constexpr notice_headers noticeHeaders { "Merlinpier-Request-Limit", "Merlinpier-Leaving", "true" };
 constexpr int statusServiceUnavailable = 503;
 // A target on the own VM accepts within this time or does not run.
 constexpr milliseconds targetConnectTimeout { 500 };
@@ -35,4 +36,9 @@
     return isShed ? target_verdict::NotRun : target_verdict::Ran;
 }
 
+target_notice own_target_dialect::readNotice(http_response const& response) const
+{
+    return readTargetNotice(response, noticeHeaders);
+}
+
 } // namespace merlinpier
--- a/Services/Daemon/own_target_dialect.h
+++ b/Services/Daemon/own_target_dialect.h
@@ -10,6 +10,7 @@
     // ^target_dialect
     http_client_request requestFor(run_call const&) const override;
     target_verdict judge(run_call const&, http_response const&) const override;
+    target_notice readNotice(http_response const&) const override;
 };
 
 } // namespace merlinpier
--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -2,6 +2,7 @@
 
 #include <LibWire/state_names.h>
 
+#include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -10,10 +11,20 @@
 
 namespace {
 
+constexpr double milli = 1000;
+
+// Requests a second, or null.
+nlohmann::json limitJson(target_record const& target)
+{
+    return target.requestLimitMilli ? nlohmann::json(static_cast<double>(*target.requestLimitMilli) / milli)
+                                    : nlohmann::json();
+}
+
 nlohmann::json targetJson(target_record const& target)
 {
     return { { "id", target.id }, { "service", target.service }, { "licence", target.licence },
-        { "claim", target.claim }, { "state", stateName(target.state) }, { "slots", target.slots } };
+        { "claim", target.claim }, { "state", stateName(target.state) }, { "slots", target.slots },
+        { "request_limit", limitJson(target) } };
 }
 
 nlohmann::json memberJson(member_record const& record)
@@ -54,7 +65,8 @@
     nlohmann::json targets = nlohmann::json::array();
     for (auto const& [id, load] : owner.targets().loads())
         targets.push_back({ { "id", id }, { "slots", load.slots }, { "running", load.running },
-            { "queued", load.queued }, { "load_permille", load.loadPermille } });
+            { "queued", load.queued }, { "load_permille", load.loadPermille },
+            { "request_limit", load.requestLimit ? nlohmann::json(*load.requestLimit) : nlohmann::json() } });
     return { { "calls", totals.calls }, { "answered", totals.answered }, { "not_run", totals.notRun },
         { "unknown", totals.unknown }, { "retries", totals.retries }, { "queries", totals.queries },
         { "unsettled", owner.calls().unsettled() }, { "ejected", owner.calls().ejected() }, { "own_targets", targets },
@@ -117,6 +129,13 @@
     figures.setGauge("merlinpier_retries", static_cast<double>(owner.calls().totals().retries));
     figures.setGauge("merlinpier_resident_bytes", residentBytes());
     figures.setGauge("merlinpier_members", static_cast<double>(owner.membership().table().records().size()));
+    for (auto const& [id, load] : owner.targets().loads()) {
+        auto const label = "{target=\"" + id + "\"}";
+        figures.setGauge("merlinpier_target_load_permille" + label, load.loadPermille);
+        // 0 stands for no limit; a limit of 0 shows as the smallest rate.
+        figures.setGauge(
+            "merlinpier_target_request_limit" + label, load.requestLimit ? std::max(*load.requestLimit, 1 / milli) : 0);
+    }
     return figures.prometheusText();
 }
 
--- a/Services/Daemon/target_dialect.h
+++ b/Services/Daemon/target_dialect.h
@@ -2,6 +2,7 @@
 
 #include <LibCalls/call_server.h>
 #include <LibHttp/http_client.h>
+#include <Services/Daemon/target_notice.h>
 
 namespace merlinpier {
 
@@ -23,6 +24,7 @@
     virtual ~target_dialect() = default;
     virtual http_client_request requestFor(run_call const&) const = 0;
     virtual target_verdict judge(run_call const&, http_response const&) const = 0;
+    virtual target_notice readNotice(http_response const&) const = 0;
 };
 
 } // namespace merlinpier
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/log.h>
 #include <LibHttp/http_message.h>
 #include <LibWire/state_names.h>
+#include <absl/strings/str_format.h>
 #include <algorithm>
 #include <utility>
 
@@ -12,6 +13,8 @@
 
 namespace {
 
+constexpr double milli = 1000;
+
 char const* verdictName(target_verdict verdict)
 {
     switch (verdict) {
@@ -66,6 +69,8 @@
 result<empty> target_gateway::announce(target_announcement const& announcement, std::uint64_t highestKnownClaim)
 {
     TRY(m_targets.announce(announcement, highestKnownClaim, currentTime()));
+    // A new incarnation has no limit.
+    carryOut(m_server.setRequestLimit(announcement.id, m_targets.requestLimit(announcement.id), currentTime()));
     reportChange();
     return empty {};
 }
@@ -91,10 +96,18 @@
     return empty {};
 }
 
-void target_gateway::didDepartBefore(std::vector<target_record> const& targets)
+void target_gateway::didRestrictBefore(std::vector<target_record> const& targets)
 {
-    for (auto const& target : targets)
-        m_targets.didDepartBefore(target.id, target.departedStart, currentTime());
+    auto const now = currentTime();
+    for (auto const& target : targets) {
+        if (target.departedStart > 0)
+            m_targets.didDepartBefore(target.id, target.departedStart, now);
+        bool const hasLimit = target.requestLimitMilli
+            && m_targets.didLimitBefore(
+                target.id, target.startedAt, static_cast<double>(*target.requestLimitMilli) / milli, now);
+        if (hasLimit)
+            applyRequestLimit(target.id, "earlier_process");
+    }
     if (!targets.empty())
         reportChange();
 }
@@ -141,7 +154,7 @@
 
 std::size_t target_gateway::unsettled() const { return m_server.unsettled(); }
 
-std::map<std::string, target_load> target_gateway::loads() const { return m_server.loads(); }
+std::map<std::string, target_load> target_gateway::loads() const { return m_server.loads(currentTime()); }
 
 void target_gateway::carryOut(std::vector<server_action> actions)
 {
@@ -157,15 +170,22 @@
                 m_http.cancel(exchange->second.exchange);
         } else if (auto const* reply = std::get_if<reply_to_origin>(&action)) {
             if (auto const* refused = std::get_if<call_refused>(&reply->content))
-                logInfo("call_refused",
-                    { { "call", refused->id }, { "reason", reasonName(refused->reason) },
-                        { "load_permille", static_cast<std::uint64_t>(refused->loadPermille) },
-                        { "retry_after_ms", static_cast<std::uint64_t>(refused->retryAfterMs) } });
+                didRefuse(*refused);
             m_hub.sendToOrigin(reply->instance, reply->content);
         }
     }
 }
 
+void target_gateway::didRefuse(call_refused const& refused)
+{
+    auto const reason = reasonName(refused.reason);
+    m_metrics.add(std::string("merlinpier_target_refusals_total{reason=\"") + reason + "\"}");
+    logInfo("call_refused",
+        { { "call", refused.id }, { "reason", reason },
+            { "load_permille", static_cast<std::uint64_t>(refused.loadPermille) },
+            { "retry_after_ms", static_cast<std::uint64_t>(refused.retryAfterMs) } });
+}
+
 void target_gateway::run(run_call wanted)
 {
     std::string const id = wanted.call.id;
@@ -200,6 +220,7 @@
         return;
     }
     auto const verdict = m_dialect.judge(ended.run, response.value());
+    didReceiveNotice(ended.run.call.target, m_dialect.readNotice(response.value()), verdict, ended.startedAt);
     if (verdict != target_verdict::Ran)
         logWarning("target_answer_refused",
             { { "call", id }, { "target", ended.run.call.target }, { "status", response.value().status },
@@ -220,6 +241,32 @@
     }
 }
 
+void target_gateway::didReceiveNotice(
+    std::string const& target, target_notice const& notice, target_verdict verdict, time_point sentAt)
+{
+    bool const isFromTarget = verdict == target_verdict::Ran || verdict == target_verdict::NotRun;
+    if (!isFromTarget)
+        return;
+    if (notice.limitError) {
+        logWarning("target_limit_refused", { { "target", target }, { "reason", *notice.limitError } });
+        return;
+    }
+    // A target that turns a call away does not vouch for the end of its limit.
+    bool const namesLimit = notice.requestLimit || verdict == target_verdict::Ran;
+    if (namesLimit && m_targets.setRequestLimit(target, notice.requestLimit, sentAt, currentTime()))
+        applyRequestLimit(target, "answer");
+}
+
+void target_gateway::applyRequestLimit(std::string const& target, char const* source)
+{
+    auto const limit = m_targets.requestLimit(target);
+    carryOut(m_server.setRequestLimit(target, limit, currentTime()));
+    reportChange();
+    logInfo("target_limit",
+        { { "target", target }, { "requests_per_second", limit ? absl::StrFormat("%g", *limit) : "none" },
+            { "source", source } });
+}
+
 void target_gateway::reportChange()
 {
     auto records = m_targets.records(*m_configuration);
--- a/Services/Daemon/target_gateway.h
+++ b/Services/Daemon/target_gateway.h
@@ -30,7 +30,8 @@
     // The target gets no new calls, but finishes what it has.
     result<empty> retire(std::string const& id);
     result<empty> leave(std::string const& id);
-    void didDepartBefore(std::vector<target_record> const&);
+    // Records of the targets of this VM that earlier processes of this daemon published.
+    void didRestrictBefore(std::vector<target_record> const&);
     void drainAll();
     void didLoseClaim(std::string const& licence, std::uint64_t claim);
     std::vector<target_record> records() const;
@@ -47,9 +48,13 @@
 
 private:
     void carryOut(std::vector<server_action>);
+    void didRefuse(call_refused const&);
     void run(run_call);
     void didEnd(std::string const& id, result<http_response>);
     void reportChange();
+    // Takes in what a target says about itself in an answer to a call that was sent to it at the given time.
+    void didReceiveNotice(std::string const& target, target_notice const&, target_verdict, time_point sentAt);
+    void applyRequestLimit(std::string const& target, char const* source);
 
     struct running_exchange {
         run_call run;
--- a/Tests/LibCalls/admission_queue_test.cpp
+++ b/Tests/LibCalls/admission_queue_test.cpp
@@ -40,7 +40,7 @@
     EXPECT_EQ(decide(queue, makeRequest("a")), kind::Run);
     EXPECT_EQ(decide(queue, makeRequest("b")), kind::Wait);
     EXPECT_EQ(decide(queue, makeRequest("c")), kind::RefuseOverloaded);
-    EXPECT_EQ(queue.loadPermille(), 2000u);
+    EXPECT_EQ(queue.loadPermille(start), 2000u);
     EXPECT_TRUE(queue.release("unknown", learning::Learn, start).empty());
     auto const decisions = queue.release("a", learning::Learn, start + milliseconds(20));
     EXPECT_EQ(decisions, (std::vector<admission_decision> { { "b", kind::Run, milliseconds(0) } }));
--- a/Tests/LibCalls/call_simulation.cpp
+++ b/Tests/LibCalls/call_simulation.cpp
@@ -32,6 +32,7 @@
     for (std::size_t i = 0; i < settings.clients; ++i) {
         call_client_settings clientSettings;
         clientSettings.retries = settings.retries;
+        clientSettings.sharedBudget = settings.sharedBudget;
         m_clients.push_back({ std::make_unique<call_client>(clientSettings, chooser_settings { "a", settings.choice }),
             ++m_lastInstance, {} });
     }
@@ -88,6 +89,33 @@
         node.instance));
 }
 
+void call_simulation::restart(std::size_t target)
+{
+    restartServer(target);
+    for (std::size_t client = 0; client < m_clients.size(); ++client)
+        silence(client, target);
+    at(m_now + publicationDelay, [=, this] {
+        publish();
+        learnFormerLimit(target);
+    });
+}
+
+void call_simulation::learnFormerLimit(std::size_t server)
+{
+    auto& node = m_servers[server];
+    auto const id = "t" + std::to_string(server);
+    applyServer(server, node.decisions->setRequestLimit(id, node.targets.requestLimit(id), m_now));
+}
+
+// The target has answered a call that was sent to it at the given time.
+void call_simulation::nameLimit(std::size_t server, time_point sentAt)
+{
+    auto& node = m_servers[server];
+    auto const id = "t" + std::to_string(server);
+    node.targets.setRequestLimit(id, node.namedLimit, sentAt, m_now);
+    applyServer(server, node.decisions->setRequestLimit(id, node.targets.requestLimit(id), m_now));
+}
+
 void call_simulation::publish()
 {
     auto const snapshot = routing_snapshot::build(m_configuration, m_members);
@@ -126,10 +154,7 @@
         }
         if (!happens(m_settings.faults.restart))
             continue;
-        restartServer(server);
-        for (std::size_t client = 0; client < m_clients.size(); ++client)
-            silence(client, server);
-        at(m_now + publicationDelay, [this] { publish(); });
+        restart(server);
     }
     at(m_now + faultInjectionPeriod, [this] { injectFaults(); });
 }
@@ -259,6 +284,7 @@
     auto const number = ++m_lastRun;
     node.runs[id] = number;
     ++node.working;
+    node.requests.push_back(m_now);
     auto const end = [=, this](duration after, auto report) {
         at(m_now + after, [=, this] {
             auto& owner = m_servers[server];
@@ -289,7 +315,10 @@
         return end(std::min<duration>(work, run.timeout),
             [=, this](call_server& decisions) { return decisions.didLose(id, m_now); });
     answer.body = "answer to " + run.call.body;
-    end(work, [=, this](call_server& decisions) { return decisions.didFinish(id, answer, m_now); });
+    end(work, [=, this, sentAt = m_now](call_server& decisions) {
+        nameLimit(server, sentAt);
+        return decisions.didFinish(id, answer, m_now);
+    });
 }
 
 } // namespace merlinpier::fixture
--- a/Tests/LibCalls/call_simulation.h
+++ b/Tests/LibCalls/call_simulation.h
@@ -39,6 +39,8 @@
     milliseconds reportWork { 100 };
     // Index of a target that its daemon cannot reach.
     std::optional<std::size_t> downTarget;
+    // As in call_client_settings.
+    std::optional<shared_budget_settings> sharedBudget;
     fault_rates faults;
     std::uint64_t seed { 1 };
 };
@@ -75,6 +77,12 @@
     call_server& server(std::size_t index) { return *m_servers[index].decisions; }
     local_targets& targetsOf(std::size_t index) { return m_servers[index].targets; }
     std::size_t maximumQueued() const { return m_maximumQueued; }
+    // From now on, the target names this limit in its answers, in requests a second, or none.
+    void setRequestLimit(std::size_t target, std::optional<double> limit) { m_servers[target].namedLimit = limit; }
+    // Restarts the target's daemon, which learns of its former record when the others learn of its restart.
+    void restart(std::size_t target);
+    // When each request was sent to the target.
+    std::vector<time_point> const& requestsTo(std::size_t target) const { return m_servers[target].requests; }
 
 private:
     struct link {
@@ -95,6 +103,8 @@
         // Run number by call, so that the end of an aborted run is not taken for the end of a later run.
         std::map<std::string, std::uint64_t> runs;
         std::size_t working { 0 };
+        std::optional<double> namedLimit;
+        std::vector<time_point> requests;
     };
     struct event {
         time_point at;
@@ -119,6 +129,8 @@
     void startRun(std::size_t server, run_call const&);
     void endRun(std::size_t server, std::uint64_t instance, std::string const& id, std::uint64_t run, call_answer);
     void finish(std::size_t client, complete_call const&);
+    void nameLimit(std::size_t server, time_point sentAt);
+    void learnFormerLimit(std::size_t server);
     std::size_t indexOf(std::string const& address) const { return std::stoul(address.substr(2)); }
 
     simulation_settings m_settings;
--- a/Tests/LibMembership/member_test.cpp
+++ b/Tests/LibMembership/member_test.cpp
@@ -333,11 +333,11 @@
     targets[0].departedStart = 500;
     fleet.perform("a-1", fleet.at("a-1").setTargets(targets, fleet.now));
     fleet.run(seconds(2));
-    EXPECT_TRUE(fleet.at("a-1").departedBefore().empty()) << "the process itself knows of the departure";
+    EXPECT_TRUE(fleet.at("a-1").restrictedBefore().empty()) << "the process itself knows of the departure";
     fleet.stop("a-1");
     fleet.start("a", 1, { "b-0" });
     fleet.run(seconds(3));
-    EXPECT_EQ(fleet.at("a-1").departedBefore(), targets);
+    EXPECT_EQ(fleet.at("a-1").restrictedBefore(), targets);
 }
 
 TEST(Member, RefutesRecordsOfItselfWithAHigherIncarnation)
--- a/Tests/LibWire/arbitrary_messages.h
+++ b/Tests/LibWire/arbitrary_messages.h
@@ -42,7 +42,7 @@
 inline call_refused drawRefusal()
 {
     return { .id = drawText(),
-        .reason = drawEnumerator(refusal_reason::Shed),
+        .reason = drawEnumerator(refusal_reason::RequestLimit),
         .retryAfterMs = drawCount(),
         .loadPermille = drawCount(),
         .version = drawNumber(),
@@ -92,7 +92,9 @@
         .claim = drawNumber(),
         .state = drawEnumerator(target_state::Gone),
         .slots = drawCount(),
-        .departedStart = drawNumber() };
+        .departedStart = drawNumber(),
+        .startedAt = drawNumber(),
+        .requestLimitMilli = drawNumber() % 2 == 0 ? std::nullopt : std::optional(drawNumber()) };
 }
 
 inline member_record drawRecord()
