LibCalls, LibRouting, platform, Daemon: Give no new work to targets that say in an answer that they leave

The code knew departures from heartbeats and deregistrations only.

Change: the notice in an answer retires the target's incarnation at the daemon of its VM, which refuses further calls at once and publishes it. The answer carries the incarnation's start to the daemon that the call came from; departed_targets remembers there what answers and records have shown, so that a record of the target's restarted daemon, which may not know it yet, does not bring the target back. Calls under way end as before.

--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -60,13 +60,19 @@
     std::string id;
     bool operator==(withdraw_dispatch const&) const = default;
 };
+// Tells the owner that the target's incarnation with this start time has said in an answer that it leaves.
+struct target_departed {
+    std::string target;
+    std::uint64_t startedAt { 0 };
+    bool operator==(target_departed const&) const = default;
+};
 // Gives the owner the final outcome of a call, exactly once.
 struct complete_call {
     std::string id;
     final_outcome outcome;
     bool operator==(complete_call const&) const = default;
 };
-using client_action = std::variant<dispatch_call, send_to_target, withdraw_dispatch, complete_call>;
+using client_action = std::variant<dispatch_call, send_to_target, withdraw_dispatch, target_departed, complete_call>;
 
 struct call_client_totals {
     std::uint64_t calls { 0 };
--- a/Libraries/LibCalls/call_client_frames.cpp
+++ b/Libraries/LibCalls/call_client_frames.cpp
@@ -14,6 +14,8 @@
     call_answered outcome { answer, record->attempt->target.id, record->attempts };
     outcome.answer.id = record->request.id;
     updateMeanSize(*record, answer);
+    if (answer.departedStart > 0)
+        out.push_back(target_departed { outcome.target, answer.departedStart });
     endAttempt(*record, { attempt_outcome::Answered, answer.loadPermille, answer.serviceUs }, now);
     if (retryFailure(*record, outcome, now, random, out))
         return;
--- a/Libraries/LibCalls/local_targets.cpp
+++ b/Libraries/LibCalls/local_targets.cpp
@@ -212,6 +212,16 @@
     return true;
 }
 
+std::uint64_t local_targets::departedStart(std::string const& id) const
+{
+    auto const target = m_entries.find(id);
+    if (target == m_entries.end())
+        return 0;
+    auto const incarnation = m_incarnations.find(target->second.announcement.licence);
+    bool const isDeparting = incarnation != m_incarnations.end() && incarnation->second.isLeaving;
+    return isDeparting ? target->second.announcement.startedAt : 0;
+}
+
 std::optional<double> local_targets::requestLimit(std::string const& id) const
 {
     auto const found = m_requestLimits.find(id);
@@ -262,10 +272,8 @@
         bool const isConfigured = service != configuration.services().end();
         std::uint32_t const configured = isConfigured ? service->second.answers.slotsPerCopy : 0;
         std::uint32_t const slots = configured > 0 ? configured : target.slots;
-        auto const incarnation = m_incarnations.find(target.licence);
-        bool const isDeparting = incarnation != m_incarnations.end() && incarnation->second.isLeaving;
-        target_record record { id, target.service, target.licence, entry.claim, target.state, slots,
-            isDeparting ? target.startedAt : 0, target.startedAt };
+        target_record record { id, target.service, target.licence, entry.claim, target.state, slots, departedStart(id),
+            target.startedAt };
         auto const limit = m_requestLimits.find(id);
         if (limit != m_requestLimits.end() && limit->second.published)
             record.requestLimitMilli = static_cast<std::uint64_t>(*limit->second.published * milli);
--- a/Libraries/LibCalls/local_targets.h
+++ b/Libraries/LibCalls/local_targets.h
@@ -61,6 +61,8 @@
     // An earlier process of this daemon knew this limit of the target's incarnation with this start time. It holds
     // until the target names its limit to this process. Returns whether the limit has changed.
     bool didLimitBefore(std::string const& id, std::uint64_t startedAt, double requestsPerSecond, time_point now);
+    // The start time of the target's incarnation if it leaves on its own account; otherwise 0.
+    std::uint64_t departedStart(std::string const& id) const;
     // The target's limit on requests, in requests a second.
     std::optional<double> requestLimit(std::string const& id) const;
     // Removes announcements whose lease has expired.
--- a/Libraries/LibRouting/routing_snapshot.cpp
+++ b/Libraries/LibRouting/routing_snapshot.cpp
@@ -119,7 +119,8 @@
 }
 
 std::shared_ptr<routing_snapshot const> routing_snapshot::build(
-    std::shared_ptr<configuration_set const> const& configurationSet, membership_table const& membership)
+    std::shared_ptr<configuration_set const> const& configurationSet, membership_table const& membership,
+    departed_targets const& departed)
 {
     auto const& configuration = *configurationSet;
     auto snapshot = std::make_shared<routing_snapshot>();
@@ -131,9 +132,10 @@
         auto const& [member, target] = holder;
         route_target const route { target->id, member->vm, member->zone, member->address, member->instance,
             target->slots };
-        if (isRoutable(*member, *target, configuration))
+        bool const isReady = isRoutable(*member, *target, configuration);
+        if (isReady && !departed.contains(*target))
             snapshot->m_services[target->service].targets.push_back(route);
-        else if (isLeaving(*member, *target, configuration))
+        else if (isReady || isLeaving(*member, *target, configuration))
             snapshot->m_services[target->service].leaving.push_back(route);
     }
     auto const hasSmallerId = [](auto const& first, auto const& second) {
--- a/Libraries/LibRouting/routing_snapshot.h
+++ b/Libraries/LibRouting/routing_snapshot.h
@@ -3,6 +3,7 @@
 #include <LibConfiguration/configuration_set.h>
 #include <LibCore/result.h>
 #include <LibMembership/membership_table.h>
+#include <LibRouting/departed_targets.h>
 #include <map>
 #include <memory>
 #include <optional>
@@ -50,9 +51,10 @@
 public:
     // Routes only to Ready targets on Alive members whose licence is listed in the service's answers. Where several
     // targets claim one licence, only the one with the highest claim counts; among equal claims, the one with the
-    // smallest VM name, then the smallest id.
+    // smallest VM name, then the smallest id. Targets that are known to have begun to leave count as leaving, whatever
+    // their records show.
     static std::shared_ptr<routing_snapshot const> build(
-        std::shared_ptr<configuration_set const> const&, membership_table const&);
+        std::shared_ptr<configuration_set const> const&, membership_table const&, departed_targets const& = {});
 
     version_number version() const { return m_version; }
     // Returns null if the configuration has no such service.
--- a/Libraries/LibWire/call_codec.cpp
+++ b/Libraries/LibWire/call_codec.cpp
@@ -60,7 +60,7 @@
     auto const id = writeText(builder, value.id);
     auto const headers = writeList(builder, value.headers, encodeHeader);
     return wire::CreateCallAnswer(builder, id, value.status, headers, body, value.loadPermille, value.version,
-        value.serviceUs, value.isInnerFailure);
+        value.serviceUs, value.isInnerFailure, value.departedStart);
 }
 
 flatbuffers::Offset<wire::CallRefused> encode(flatbuffers::FlatBufferBuilder& builder, call_refused const& value)
@@ -139,6 +139,7 @@
         .version = table.version(),
         .serviceUs = table.service_us(),
         .isInnerFailure = table.inner_failure(),
+        .departedStart = table.departed_start(),
     };
 }
 
--- a/Libraries/LibWire/call_messages.h
+++ b/Libraries/LibWire/call_messages.h
@@ -100,6 +100,8 @@
     // The target reports a failure because a call that it made itself has failed. A retry would make all its calls
     // again, at a service that is short of capacity or retries.
     bool isInnerFailure { false };
+    // Start time of the target's incarnation if it has begun to leave; otherwise 0.
+    std::uint64_t departedStart { 0 };
 
     bool operator==(call_answer const&) const = default;
 };
--- a/Libraries/LibWire/frames_generated.h
+++ b/Libraries/LibWire/frames_generated.h
@@ -2210,7 +2210,8 @@
     VT_LOAD_PERMILLE = 12,
     VT_VERSION = 14,
     VT_SERVICE_US = 16,
-    VT_INNER_FAILURE = 18
+    VT_INNER_FAILURE = 18,
+    VT_DEPARTED_START = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2236,6 +2237,9 @@
   bool inner_failure() const {
     return GetField<uint8_t>(VT_INNER_FAILURE, 0) != 0;
   }
+  uint64_t departed_start() const {
+    return GetField<uint64_t>(VT_DEPARTED_START, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2250,6 +2254,7 @@
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_SERVICE_US, 4) &&
            VerifyField<uint8_t>(verifier, VT_INNER_FAILURE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_DEPARTED_START, 8) &&
            verifier.EndTable();
   }
 };
@@ -2282,6 +2287,9 @@
   void add_inner_failure(bool inner_failure) {
     fbb_.AddElement<uint8_t>(CallAnswer::VT_INNER_FAILURE, static_cast<uint8_t>(inner_failure), 0);
   }
+  void add_departed_start(uint64_t departed_start) {
+    fbb_.AddElement<uint64_t>(CallAnswer::VT_DEPARTED_START, departed_start, 0);
+  }
   explicit CallAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2302,8 +2310,10 @@
     uint32_t load_permille = 0,
     uint64_t version = 0,
     uint32_t service_us = 0,
-    bool inner_failure = false) {
+    bool inner_failure = false,
+    uint64_t departed_start = 0) {
   CallAnswerBuilder builder_(_fbb);
+  builder_.add_departed_start(departed_start);
   builder_.add_version(version);
   builder_.add_service_us(service_us);
   builder_.add_load_permille(load_permille);
@@ -2329,7 +2339,8 @@
     uint32_t load_permille = 0,
     uint64_t version = 0,
     uint32_t service_us = 0,
-    bool inner_failure = false) {
+    bool inner_failure = false,
+    uint64_t departed_start = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -2342,7 +2353,8 @@
       load_permille,
       version,
       service_us,
-      inner_failure);
+      inner_failure,
+      departed_start);
 }
 
 struct CallRefused FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Services/Daemon/call_gateway.cpp
+++ b/Services/Daemon/call_gateway.cpp
@@ -34,6 +34,11 @@
     answer(done);
 }
 
+void call_gateway::setDepartureHandler(std::function<void(std::string const&, std::uint64_t)> didDepart)
+{
+    m_didDepart = std::move(didDepart);
+}
+
 void call_gateway::setSnapshot(std::shared_ptr<routing_snapshot const> snapshot)
 {
     m_snapshot = snapshot;
@@ -110,6 +115,9 @@
             std::visit([&](auto const& content) { m_hub.sendAboutCall(about->address, content); }, about->content);
         } else if (auto const* back = std::get_if<withdraw_dispatch>(&action)) {
             m_hub.dropWaiting(back->address, back->id);
+        } else if (auto const* departed = std::get_if<target_departed>(&action)) {
+            if (m_didDepart)
+                m_didDepart(departed->target, departed->startedAt);
         } else if (auto* finished = std::get_if<complete_call>(&action)) {
             auto callers = takeCallers(finished->id);
             done.push_back({ std::move(*finished), std::move(callers) });
--- a/Services/Daemon/call_gateway.h
+++ b/Services/Daemon/call_gateway.h
@@ -23,6 +23,8 @@
 
     // Starts a call; the completion gets its one final outcome, unless the responder's caller has gone before.
     void start(caller_request, std::shared_ptr<http_responder> const&, call_completion);
+    // Called when a target has said in an answer that it leaves, with the start time of its incarnation.
+    void setDepartureHandler(std::function<void(std::string const& target, std::uint64_t startedAt)>);
     void setDaemons(std::size_t count) { m_client.setDaemons(count); }
     void setSnapshot(std::shared_ptr<routing_snapshot const>);
     std::shared_ptr<routing_snapshot const> snapshot() const;
@@ -61,6 +63,7 @@
     call_client m_client;
     generator m_generator;
     std::shared_ptr<routing_snapshot const> m_snapshot;
+    std::function<void(std::string const& target, std::uint64_t startedAt)> m_didDepart;
     // A repeat with the same Idempotency-Key joins the same call.
     std::multimap<std::string, waiting_caller> m_callers;
     std::uint64_t m_lastCaller { 0 };
--- a/Services/Daemon/daemon.cpp
+++ b/Services/Daemon/daemon.cpp
@@ -38,6 +38,8 @@
     , m_calls(m_settings.client, m_settings.chooser, m_hub, m_metrics, drawNumber())
 {
     m_configuration.setChangeHandler([this] { didChangeConfiguration(); });
+    m_calls.setDepartureHandler(
+        [this](std::string const& target, std::uint64_t startedAt) { didLearnDeparture(target, startedAt); });
     m_targets.setChangeHandler([this] { loop().post([this] { m_membership.setTargets(m_targets.records()); }); });
 }
 
@@ -149,10 +151,17 @@
     m_configuration.setPeers(m_membership.peers());
     m_configuration.raiseFloor(m_membership.appliedBefore());
     m_configuration.setHasContact(m_membership.hasContact());
+    m_departedTargets.learn(m_membership.table(), currentTime());
     yieldLostClaims();
     markRoutesOld();
 }
 
+void daemon::didLearnDeparture(std::string const& target, std::uint64_t startedAt)
+{
+    if (m_departedTargets.didDepart(target, startedAt, currentTime()))
+        markRoutesOld();
+}
+
 void daemon::didHearVersion(std::string const& address, std::uint64_t version)
 {
     if (version > m_configuration.applied()->version())
@@ -177,13 +186,14 @@
 {
     m_routesAreOld = false;
     setRetryBudgetDaemons();
-    m_membership.buildSnapshot(m_configuration.applied(), [this](std::shared_ptr<routing_snapshot const> snapshot) {
-        auto const before = m_calls.snapshot();
-        bool const hasNewRoutes = !before || before->version() != snapshot->version();
-        m_calls.setSnapshot(snapshot);
-        if (hasNewRoutes && m_didRenewRoutes)
-            m_didRenewRoutes(*snapshot);
-    });
+    m_membership.buildSnapshot(
+        m_configuration.applied(), m_departedTargets, [this](std::shared_ptr<routing_snapshot const> snapshot) {
+            auto const before = m_calls.snapshot();
+            bool const hasNewRoutes = !before || before->version() != snapshot->version();
+            m_calls.setSnapshot(snapshot);
+            if (hasNewRoutes && m_didRenewRoutes)
+                m_didRenewRoutes(*snapshot);
+        });
 }
 
 void daemon::setListedDaemons(std::size_t count)
@@ -219,6 +229,7 @@
 void daemon::tickSlowly()
 {
     m_membership.tick();
+    m_departedTargets.expire(currentTime());
     // Contacts age without a message, so the peers are taken anew with every tick.
     m_configuration.setPeers(m_membership.peers());
     m_configuration.raiseFloor(m_membership.appliedBefore());
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -78,6 +78,7 @@
     void didChangeConfiguration();
     void renewRoutes();
     void markRoutesOld();
+    void didLearnDeparture(std::string const& target, std::uint64_t startedAt);
     void yieldLostClaims();
     void tickSlowly();
     void tickQuickly();
@@ -100,6 +101,7 @@
     time_point m_drainBegan;
     std::size_t m_listedDaemons { 0 };
     bool m_routesAreOld { false };
+    departed_targets m_departedTargets;
     bool m_isDraining { false };
     bool m_refusesCallers { false };
 };
--- a/Services/Daemon/membership_part.cpp
+++ b/Services/Daemon/membership_part.cpp
@@ -71,9 +71,9 @@
 std::uint64_t membership_part::appliedBefore() const { return m_member.appliedBefore(); }
 
 void membership_part::buildSnapshot(std::shared_ptr<configuration_set const> const& configuration,
-    std::function<void(std::shared_ptr<routing_snapshot const>)> const& handOn) const
+    departed_targets const& departed, std::function<void(std::shared_ptr<routing_snapshot const>)> const& handOn) const
 {
-    handOn(routing_snapshot::build(configuration, m_member.table()));
+    handOn(routing_snapshot::build(configuration, m_member.table(), departed));
 }
 
 void membership_part::carryOut(std::vector<membership_action> actions)
--- a/Services/Daemon/membership_part.h
+++ b/Services/Daemon/membership_part.h
@@ -45,7 +45,7 @@
     // them.
     std::vector<target_record> const& restrictedBefore() const { return m_member.restrictedBefore(); }
     // Builds a routing snapshot of the table as it is now, and hands it on before the table can change again.
-    void buildSnapshot(std::shared_ptr<configuration_set const> const&,
+    void buildSnapshot(std::shared_ptr<configuration_set const> const&, departed_targets const&,
         std::function<void(std::shared_ptr<routing_snapshot const>)> const&) const;
 
 private:
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -226,9 +226,12 @@
             { { "call", id }, { "target", ended.run.call.target }, { "status", response.value().status },
                 { "verdict", verdictName(verdict) } });
     switch (verdict) {
-    case target_verdict::Ran:
-        carryOut(m_server.didFinish(id, answerFrom(id, response.releaseValue()), now));
+    case target_verdict::Ran: {
+        auto answer = answerFrom(id, response.releaseValue());
+        answer.departedStart = m_targets.departedStart(ended.run.call.target);
+        carryOut(m_server.didFinish(id, std::move(answer), now));
         return;
+    }
     case target_verdict::NotRun:
         carryOut(m_server.didRefuse(id, refusal_reason::Shed, now));
         return;
@@ -247,6 +250,13 @@
     bool const isFromTarget = verdict == target_verdict::Ran || verdict == target_verdict::NotRun;
     if (!isFromTarget)
         return;
+    auto const* known = m_targets.find(target);
+    if (notice.isLeaving && known && known->state == target_state::Ready) {
+        logInfo("target_leaving", { { "target", target } });
+        // Cannot fail, since the target is known.
+        (void)m_targets.retire(target, currentTime());
+        reportChange();
+    }
     if (notice.limitError) {
         logWarning("target_limit_refused", { { "target", target }, { "reason", *notice.limitError } });
         return;
--- a/Tests/LibCalls/request_limiter_test.cpp
+++ b/Tests/LibCalls/request_limiter_test.cpp
@@ -183,4 +183,16 @@
     EXPECT_EQ(others.requestLimit("t"), std::nullopt);
 }
 
+TEST(LocalTargets, NameTheIncarnationThatLeaves)
+{
+    local_targets targets;
+    ASSERT_FALSE(targets.announce(announcementOf(5, 1), 0, at(0)).isError());
+    EXPECT_EQ(targets.departedStart("t"), 0u);
+    ASSERT_FALSE(targets.retire("t", at(10)).isError());
+    EXPECT_EQ(targets.departedStart("t"), 5u);
+    ASSERT_FALSE(targets.announce(announcementOf(5, 2), 0, at(20)).isError());
+    EXPECT_EQ(targets.find("t")->state, target_state::Draining) << "a late heartbeat does not bring it back";
+    EXPECT_EQ(targets.departedStart("unknown"), 0u);
+}
+
 } // namespace merlinpier
--- a/Tests/LibWire/arbitrary_messages.h
+++ b/Tests/LibWire/arbitrary_messages.h
@@ -36,7 +36,8 @@
         .loadPermille = drawCount(),
         .version = drawNumber(),
         .serviceUs = drawCount(),
-        .isInnerFailure = drawBelow(2) == 1 };
+        .isInnerFailure = drawBelow(2) == 1,
+        .departedStart = drawNumber() };
 }
 
 inline call_refused drawRefusal()
