LibLoop, platform, Daemon: Bound answers of targets that do not end

Cause of the danger, by a test: a chunk's extension without end is kept unparsed in full, interim answers are passed over without a bound, and each unfinished body may take 16 MB of a VM's 160.

Change: at most 64 KiB wait unparsed and 8 interim answers are passed over; an answer of a target may have 3 MB, which fits into a frame between daemons with its headers; all unfinished answers of a process share 24 MB, and the longest is given up beyond that. The time is bounded by the call's deadline, as before.

Not tried: 1,000 at a tenth of a core.

--- a/Libraries/LibLoop/http_parser.cpp
+++ b/Libraries/LibLoop/http_parser.cpp
@@ -15,6 +15,10 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t maximumResponseHeaderBytes = 64 * 1024;
+// Interim answers that are passed over before the final one.
+constexpr int maximumInterimAnswers = 8;
+// What may wait unparsed, such as the rest of a header or of a chunk's extension.
+constexpr std::size_t maximumUnparsedBytes = 64 * 1024;
 constexpr int statusBadRequest = 400;
 constexpr int statusContentTooLarge = 413;
 constexpr int statusHeadersTooLarge = 431;
@@ -124,6 +128,7 @@
 struct http_response_parser::internals {
     std::size_t maximumBodyBytes { 0 };
     bool isAnswerToHead { false };
+    int interimAnswers { 0 };
     std::optional<http::response_parser<http::string_body>> parser;
 
     void restart()
@@ -154,9 +159,11 @@
         if (feed(*m_internals->parser, input))
             return parse_state::Failed;
         if (!m_internals->parser->is_done())
-            return parse_state::NeedsMore;
+            return input.size() > maximumUnparsedBytes ? parse_state::Failed : parse_state::NeedsMore;
         if (m_internals->parser->get().result_int() >= firstFinalStatus)
             return parse_state::Done;
+        if (++m_internals->interimAnswers > maximumInterimAnswers)
+            return parse_state::Failed;
         m_internals->restart();
     }
 }
--- a/Libraries/LibLoop/http_parser.h
+++ b/Libraries/LibLoop/http_parser.h
@@ -37,7 +37,7 @@
     int m_refusalStatus { 400 };
 };
 
-// Reads one HTTP/1.1 answer from a buffer of received bytes. Interim answers (1xx) are passed over.
+// Reads one HTTP/1.1 answer from a buffer of received bytes. A few interim answers (1xx) are passed over.
 class http_response_parser {
 public:
     // An answer to HEAD has no body whatever its headers say.
--- a/Libraries/LibLoop/loop_http_client.cpp
+++ b/Libraries/LibLoop/loop_http_client.cpp
@@ -96,6 +96,7 @@
     {
         m_id = 0;
         m_parser.reset();
+        m_bufferedBytes = 0;
         m_owner.m_loop.cancel(std::exchange(m_timeout, 0));
         m_owner.m_loop.cancel(std::exchange(m_connectTimeout, 0));
         if (!m_isReusable)
@@ -103,6 +104,9 @@
         return std::exchange(m_callback, nullptr);
     }
     bool isReusable() const { return m_isReusable; }
+    // Bytes of the answer that have arrived.
+    std::size_t bufferedBytes() const { return m_bufferedBytes; }
+    void giveUpLongAnswer() { fail("too many bytes of unfinished answers are buffered"); }
 
 private:
     void didConnect() override
@@ -128,6 +132,8 @@
             return;
         }
         m_input.append(bytes);
+        m_bufferedBytes += bytes.size();
+        m_owner.didBuffer(bytes.size());
         while (m_id != 0) {
             auto const state = m_parser->consume(m_input);
             if (state == parse_state::NeedsMore)
@@ -210,6 +216,7 @@
     bool m_isHead { false };
     bool m_isSent { false };
     bool m_isReusable { false };
+    std::size_t m_bufferedBytes { 0 };
 };
 
 loop_http_client::loop_http_client(event_loop& loop, loop_http_client_settings settings)
@@ -257,6 +264,18 @@
     used->abandon();
 }
 
+void loop_http_client::didBuffer(std::size_t bytes)
+{
+    m_bufferedBytes += bytes;
+    if (m_bufferedBytes <= m_settings.maximumBufferedBytes)
+        return;
+    auto const longest = std::max_element(m_active.begin(), m_active.end(), [](auto const& first, auto const& second) {
+        return first.second->bufferedBytes() < second.second->bufferedBytes();
+    });
+    auto const given = longest->second;
+    given->giveUpLongAnswer();
+}
+
 std::shared_ptr<loop_http_client::connection> loop_http_client::takeIdle(std::string const& address)
 {
     auto& idle = m_idle[address];
@@ -294,6 +313,7 @@
         return;
     auto const used = found->second;
     m_active.erase(found);
+    m_bufferedBytes -= used->bufferedBytes();
     used->stopListening();
     bool const isWhole = !outcome.isError();
     // Closing the stream waits for the posted task, since one of its callbacks may be running.
--- a/Libraries/LibLoop/loop_http_client.h
+++ b/Libraries/LibLoop/loop_http_client.h
@@ -18,6 +18,9 @@
     // Subtracted from what the other side promises in Keep-Alive.
     milliseconds keepAliveMargin { 1000 };
     std::size_t maximumIdleConnections { 32 };
+    // Bytes of all answers together that are not whole yet. Beyond it, the longest of them is given up, so that answers
+    // without end neither exhaust the memory nor hurt other exchanges.
+    std::size_t maximumBufferedBytes { 24 * 1024 * 1024 };
 };
 
 // Sends HTTP requests on an event loop. Never sends a request twice by itself. An answer counts only if it is whole;
@@ -33,6 +36,8 @@
 
     // Connections opened since the start.
     std::uint64_t connectionsOpened() const { return m_connectionsOpened; }
+    // Bytes of answers that are not whole yet.
+    std::size_t bufferedBytes() const { return m_bufferedBytes; }
 
 private:
     class connection;
@@ -42,11 +47,13 @@
     void keep(std::shared_ptr<connection>);
     void forget(connection const&);
     void finish(connection&, result<http_response>);
+    void didBuffer(std::size_t bytes);
 
     event_loop& m_loop;
     loop_http_client_settings m_settings;
     std::map<http_exchange_id, std::shared_ptr<connection>> m_active;
     std::map<std::string, std::vector<std::shared_ptr<connection>>> m_idle;
+    std::size_t m_bufferedBytes { 0 };
     http_exchange_id m_nextId { 1 };
     std::uint64_t m_connectionsOpened { 0 };
     // Shared with posted tasks, which do nothing once the client is gone.
--- a/Services/Daemon/own_target_dialect.cpp
+++ b/Services/Daemon/own_target_dialect.cpp
@@ -6,6 +6,8 @@
 
 constexpr char const* notRunHeader = "Merlinpier-Not-Run";
 constexpr notice_headers noticeHeaders { "Merlinpier-Request-Limit", "Merlinpier-Leaving", "true" };
+// Fits into one frame between daemons, with its headers.
+constexpr std::size_t maximumAnswerBytes = 3 * 1024 * 1024;
 constexpr int statusServiceUnavailable = 503;
 // A target on the own VM accepts within this time or does not run.
 constexpr milliseconds targetConnectTimeout { 500 };
@@ -23,6 +25,7 @@
     request.headers.push_back({ "Merlinpier-Deadline-Ms", std::to_string(wanted.timeout.count()) });
     request.headers.push_back({ "Merlinpier-Hops", std::to_string(wanted.call.hops) });
     request.body = wanted.call.body;
+    request.maximumBodyBytes = maximumAnswerBytes;
     request.timeout = wanted.timeout;
     request.connectTimeout = std::min(wanted.timeout, targetConnectTimeout);
     request.reuse = wanted.call.isIdempotent ? connection_reuse::Allowed : connection_reuse::Forbidden;
