Daemon, Sidecar: Log what holds a planned stop, and when the process ends

The logs could not tell which call holds a stop, nor whether the process ended after daemon_stopped. Now drain_waiting names the counts and the call that has waited longest, once a second, and process_ended follows the teardown with its time.

--- a/Services/Daemon/call_gateway.cpp
+++ b/Services/Daemon/call_gateway.cpp
@@ -97,6 +97,15 @@
 
 std::size_t call_gateway::unsettled() const { return m_client.unsettled(); }
 
+std::optional<call_gateway::waiting_call> call_gateway::longestWaiting() const
+{
+    auto const longest = std::min_element(m_callers.begin(), m_callers.end(),
+        [](auto const& first, auto const& second) { return first.second.startedAt < second.second.startedAt; });
+    if (longest == m_callers.end())
+        return std::nullopt;
+    return waiting_call { longest->first, currentTime() - longest->second.startedAt };
+}
+
 call_client_totals call_gateway::totals() const { return m_client.totals(); }
 
 std::vector<std::string> call_gateway::ejected() const { return m_client.chooser().ejected(currentTime()); }
--- a/Services/Daemon/call_gateway.h
+++ b/Services/Daemon/call_gateway.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace merlinpier {
@@ -35,6 +36,12 @@
     void tick();
 
     std::size_t unsettled() const;
+    // The call whose caller has waited longest, for the log of a stop.
+    struct waiting_call {
+        std::string id;
+        duration waitingFor { 0 };
+    };
+    std::optional<waiting_call> longestWaiting() const;
     call_client_totals totals() const;
     std::vector<std::string> ejected() const;
 
--- a/Services/Daemon/daemon.cpp
+++ b/Services/Daemon/daemon.cpp
@@ -12,6 +12,7 @@
 
 constexpr milliseconds quickTickPeriod { 25 };
 constexpr milliseconds slowTickPeriod { 100 };
+constexpr milliseconds drainLogPeriod { 1000 };
 
 std::uint64_t drawNumber()
 {
@@ -84,6 +85,7 @@
     if (spent < std::min(m_settings.leaveNotice, m_settings.drainTimeout))
         return;
     bool const isOver = spent >= m_settings.drainTimeout;
+    logWhatHoldsDrain();
     if (m_targets.unsettled() > 0 && !isOver)
         return;
     m_refusesCallers = true;
@@ -97,6 +99,21 @@
         didDrain();
 }
 
+void daemon::logWhatHoldsDrain()
+{
+    auto const now = currentTime();
+    if (!m_didDrain || now < m_nextDrainLog)
+        return;
+    m_nextDrainLog = now + drainLogPeriod;
+    auto const longest = m_calls.longestWaiting();
+    logInfo("drain_waiting",
+        { { "after_ms", toMilliseconds(now - m_drainBegan) },
+            { "target_calls", static_cast<std::uint64_t>(m_targets.unsettled()) },
+            { "own_calls", static_cast<std::uint64_t>(m_calls.unsettled()) },
+            { "longest_call", longest ? longest->id : "" },
+            { "waiting_ms", longest ? toMilliseconds(longest->waitingFor) : 0 } });
+}
+
 std::size_t daemon::liveMembers() const
 {
     auto const& records = m_membership.table().records();
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -78,6 +78,7 @@
 
     void didChangeConfiguration();
     void renewRoutes();
+    void logWhatHoldsDrain();
     void markRoutesOld();
     void didLearnDeparture(std::string const& target, std::uint64_t startedAt);
     void yieldLostClaims();
@@ -102,6 +103,7 @@
     time_point m_drainBegan;
     std::size_t m_listedDaemons { 0 };
     bool m_routesAreOld { false };
+    time_point m_nextDrainLog {};
     departed_targets m_departedTargets;
     bool m_isDraining { false };
     bool m_refusesCallers { false };
--- a/Services/Sidecar/main.cpp
+++ b/Services/Sidecar/main.cpp
@@ -178,7 +178,8 @@
     if (created.isError())
         return fail(created.failure(), exitUnavailable);
     auto const loop = created.releaseValue();
-    sidecar process(*loop, std::move(settings), metricsPort);
+    auto owned = std::make_unique<sidecar>(*loop, std::move(settings), metricsPort);
+    auto& process = *owned;
     process.setContent(std::move(content));
     if (auto const started = process.start(); started.isError())
         return fail(started.failure(), exitUnavailable);
@@ -191,8 +192,12 @@
     loop->subscribe(settingsPollPeriod, [&process] { process.reload(); });
     loop->subscribe(logFlushPeriod, [] { flushLog(); });
     loop->run();
+    auto const stoppedAt = currentTime();
     logInfo("daemon_stopped", {});
     flushLog();
+    owned.reset();
+    logInfo("process_ended", { { "teardown_ms", toMilliseconds(currentTime() - stoppedAt) } });
+    flushLog();
     return 0;
 }
 
