Meta/soak: Let targets name limits and departures in their answers, and check both

Two checks: limited (1.5 times the limit + 5 in 4 s, the users' bound, not while the VM's daemon is harmed) and left_alone (no arrival later than 2 s after the target has said in an answer that it leaves, without an excuse).

--- a/Meta/soak/checks.py
+++ b/Meta/soak/checks.py
@@ -13,6 +13,10 @@
 BUDGET_WINDOW_S = 10.0
 # A deadline may be handed to a target longer by this much than the caller set it.
 DEADLINE_SLACK_S = 0.5
+# A target that names a limit gets at most this many times what it allows, and so many requests more, in each window.
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+LIMIT_WINDOW_S = 4.0
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -24,6 +28,12 @@
         self.runs = defaultdict(list)
         # When the daemon of a target's VM acknowledged that the target leaves, by instance.
         self.leaving = {}
+        # When a target first said in an answer that it leaves, by instance.
+        self.leaving_named = {}
+        # When requests reached each instance, those included that it turned away.
+        self.arrivals = defaultdict(list)
+        # Dictionaries with vm, instance, limit, at and until: who named which limit, first and last.
+        self.limits = []
         # (begin, end, vm or None for all, is planned)
         self.harm = []
         # (acknowledged, number, service that the moved route leads to)
@@ -45,8 +55,8 @@
 def violations(history):
     """Returns (promise, what was seen) for each broken promise."""
     found = []
-    for check in (whole_answers, at_most_once, true_refusals, unasked, drained, planned_stops, never_back, in_force,
-                  retry_budget):
+    for check in (whole_answers, at_most_once, true_refusals, unasked, drained, left_alone, limited, planned_stops,
+                  never_back, in_force, retry_budget):
         found += [(check.__name__, what) for what in check(history)]
     return found
 
@@ -94,6 +104,24 @@
                 yield f"{attempt} ran {run['at'] - left:.2f} s after {run['instance']} was acknowledged to leave"
 
 
+def left_alone(history):
+    for instance, named in history.leaving_named.items():
+        for at in history.arrivals[instance]:
+            if at > named + DRAIN_S:
+                yield f"a request reached {instance} {at - named:.2f} s after it had said in an answer that it leaves"
+
+
+def limited(history):
+    for limit in history.limits:
+        allowed = LIMIT_FACTOR * limit["limit"] * LIMIT_WINDOW_S + LIMIT_EXTRA
+        arrivals = sorted(at for at in history.arrivals[limit["instance"]] if limit["at"] + STABLE_S <= at <= limit["until"])
+        for first, begin in enumerate(arrivals):
+            count = bisect.bisect_left(arrivals, begin + LIMIT_WINDOW_S) - first
+            if count > allowed and history.is_calm(limit["vm"], begin, begin + LIMIT_WINDOW_S, True):
+                yield f"{limit['instance']} got {count} requests in {LIMIT_WINDOW_S:.0f} s, allowed {allowed:.0f}: {limit}"
+                break
+
+
 def planned_stops(history):
     for attempt, outcome in history.outcomes.items():
         sent = history.sent[attempt]
@@ -146,4 +174,5 @@
     statuses = Counter(str(outcome["status"]) for outcome in history.outcomes.values())
     return {"requests": len(history.sent), "runs": sum(map(len, history.runs.values())),
             "repeats": sum(len(runs) - 1 for runs in history.runs.values()), "statuses": dict(statuses),
-            "versions": len(history.versions), "probes": len(history.probes)}
+            "versions": len(history.versions), "probes": len(history.probes), "limits": len(history.limits),
+            "leaving": len(history.leaving_named)}
--- a/Meta/soak/fleet.py
+++ b/Meta/soak/fleet.py
@@ -48,6 +48,8 @@
         self.daemon = None
         self.target = None
         self.is_ready = False
+        # Whether the target has begun to handle the signals for limits.
+        self.takes_limits = False
         self.is_over = False
         self.relay = Relay(self.address(RELAY_PORT), self.address(PORTS["inbound"]))
 
@@ -82,6 +84,7 @@
 
     async def start_target(self, secret, work, spoil):
         self.target_life += 1
+        self.takes_limits = False
         identity = f"i-{self.name}-{self.target_life}"
         self.target = await asyncio.create_subprocess_exec(
             sys.executable, "-B", str(Path(__file__).with_name("worker.py")), "--id", identity, "--service", self.service,
@@ -94,10 +97,23 @@
     async def read_target(self, process):
         while line := await process.stdout.readline():
             told = json.loads(line)
-            if told["event"] == "run":
+            if told["event"] == "started":
+                self.takes_limits = True
+            elif told["event"] == "run":
                 self.history.runs[told["attempt"]].append({**told, "service": self.service})
             elif told["event"] == "leaving_acknowledged":
                 self.history.leaving[told["instance"]] = told["at"]
+            elif told["event"] == "leaving_named":
+                self.history.leaving_named[told["instance"]] = told["at"]
+            elif told["event"] == "arrived":
+                self.history.arrivals[told["instance"]].append(told["at"])
+            elif told["event"] == "limit_named":
+                self.history.limits.append({"vm": self.name, "instance": told["instance"], "limit": told["limit"],
+                                            "at": told["at"], "until": float("inf")})
+            elif told["event"] == "limit_ended":
+                for limit in self.history.limits:
+                    if limit["instance"] == told["instance"]:
+                        limit["until"] = min(limit["until"], told["at"])
 
     async def keep_target(self, process, *options):
         await process.wait()
@@ -112,6 +128,10 @@
     def signal_target(self, number):
         send(self.target, number)
 
+    def signal_limit(self, number):
+        if self.takes_limits:
+            send(self.target, number)
+
     async def end(self):
         """Ends daemon and target by their ids, paused ones included."""
         self.is_over = True
--- a/Meta/soak/main.py
+++ b/Meta/soak/main.py
@@ -8,6 +8,7 @@
 import json
 import random
 import resource
+import signal
 import sys
 import tempfile
 import time
@@ -119,13 +120,27 @@
         names = [vm.name for vm in self.vms]
         self.faults = plan.draw(self.seeded, self.seed, self.options.duration, names, self.options.faults)
         began = time.time()
-        under_way = []
+        under_way = [asyncio.ensure_future(self.limit(began))]
         for fault in self.faults:
             await asyncio.sleep(max(0, began + fault["at"] - time.time()))
             under_way.append(asyncio.ensure_future(self.carry_out(fault)))
         await asyncio.sleep(max(0, began + self.options.duration - time.time()))
         await asyncio.gather(*under_way)
 
+    async def limit(self, began):
+        """Lets targets name limits on requests, several at a time."""
+        ends = []
+        for at, for_s, name in plan.draw_limits(random.Random(self.seed + 2), self.options.duration, [vm.name for vm in self.vms]):
+            await asyncio.sleep(max(0, began + at - time.time()))
+            vm = next(vm for vm in self.vms if vm.name == name)
+            vm.signal_limit(signal.SIGUSR1)
+            ends.append(asyncio.ensure_future(self.end_limit(vm, for_s)))
+        await asyncio.gather(*ends)
+
+    async def end_limit(self, vm, for_s):
+        await asyncio.sleep(for_s)
+        vm.signal_limit(signal.SIGUSR2)
+
     async def carry_out(self, fault):
         begin = time.time()
         is_planned = fault["kind"] in plan.PLANNED
--- a/Meta/soak/plan.py
+++ b/Meta/soak/plan.py
@@ -9,6 +9,22 @@
 PLANNED_ONLY_EVERY = 4
 
 
+# How long a target names a limit on requests, and the pause before the next does, in seconds.
+LIMIT_S = (5.0, 9.0)
+LIMIT_PAUSE_S = (0.5, 3.0)
+
+
+def draw_limits(seeded, duration, vms):
+    """Returns when the targets of which VMs begin and end to name a limit: (at, for_s, vm). Drawn apart from the faults,
+    so that these stay what they were for a seed."""
+    limits = []
+    at = seeded.uniform(*LIMIT_PAUSE_S)
+    while at < duration:
+        limits.append((at, seeded.uniform(*LIMIT_S), seeded.choice(vms)))
+        at += seeded.uniform(*LIMIT_PAUSE_S)
+    return limits
+
+
 def draw(seeded, seed, duration, vms, kinds):
     """Returns the faults in order: dictionaries with at, kind, vms, for_s and more. They overlap and come in series."""
     allowed = [kind for kind in KINDS if not kinds or kind in kinds]
--- a/Meta/soak/worker.py
+++ b/Meta/soak/worker.py
@@ -16,6 +16,8 @@
 HEARTBEAT_TIMEOUT_S = 1.0
 # How long a target that leaves goes on serving after its daemon has acknowledged that.
 DRAIN_S = 2.0
+# Requests a second that a target takes while it names a limit; well below what its callers send.
+LIMITS_PER_S = (2, 10)
 
 
 def tell(**event):
@@ -48,17 +50,50 @@
         self.sequence = 0
         self.running = 0
         self.state = "ready"
+        self.is_leaving = False
+        # Half of the targets that leave say so in their answers only, until they deregister.
+        self.leaves_by_heartbeat = random.Random(options.seed + 1).random() < 0.5
+        self.limit = None
+        self.has_named_limit = self.has_named_leaving = False
         self.acknowledged = asyncio.Event()
 
     async def serve(self):
         host, port = self.options.listen.rsplit(":", 1)
         server = await asyncio.start_server(self.talk, host, int(port), limit=READ_LIMIT, reuse_address=True)
-        tell(event="started", instance=self.options.id)
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, lambda: asyncio.ensure_future(self.leave()))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, self.begin_limit)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR2, self.end_limit)
+        tell(event="started", instance=self.options.id)
         asyncio.ensure_future(self.announce())
         async with server:
             await server.serve_forever()
 
+    def begin_limit(self):
+        if self.limit is None:
+            self.limit = self.random.randint(*LIMITS_PER_S)
+            self.has_named_limit = False
+
+    def end_limit(self):
+        self.limit = None
+        tell(event="limit_ended", instance=self.options.id)
+
+    def notices(self):
+        """What the target says about itself in every answer."""
+        notices = {}
+        if self.limit is not None:
+            notices["Server-Limit"] = f"{self.limit:.1f}"
+        if self.is_leaving:
+            notices["Server-Leaving"] = "1"
+        return notices
+
+    def tell_notices(self):
+        if self.limit is not None and not self.has_named_limit:
+            self.has_named_limit = True
+            tell(event="limit_named", instance=self.options.id, limit=self.limit)
+        if self.is_leaving and not self.has_named_leaving:
+            self.has_named_leaving = True
+            tell(event="leaving_named", instance=self.options.id)
+
     async def announce(self):
         while True:
             await self.post(f"/v1/Instances.Heartbeat/{self.options.id}", self.heartbeat())
@@ -88,6 +123,10 @@
             return False
 
     async def leave(self):
+        self.is_leaving = True
+        if not self.leaves_by_heartbeat:
+            await asyncio.sleep(2 * DRAIN_S + 1)
+            return await self.end()
         self.state = "draining"
         asyncio.ensure_future(self.post(f"/v1/Instances.Heartbeat/{self.options.id}", self.heartbeat()))
         try:
@@ -95,6 +134,10 @@
         except asyncio.TimeoutError:
             pass
         await asyncio.sleep(DRAIN_S + 1)
+        await self.end()
+
+    async def end(self):
+        """Deregisters, and ends the process when its last request has ended."""
         await self.post(f"/v1/Instances.Deregister/{self.options.id}", {})
         while self.running > 0:
             await asyncio.sleep(0.02)
@@ -115,6 +158,7 @@
         attempt = headers.get("attempt-id", "")
         if headers.get("expected-instance", self.options.id) != self.options.id:
             return await self.write(writer, 421, attempt, b"", {"Instance-Id": self.options.id})
+        tell(event="arrived", instance=self.options.id)
         if self.running >= self.options.slots:
             return await self.write(writer, 503, attempt, b"", {"Not-Executed": "1"})
         tell(event="run", instance=self.options.id, attempt=attempt, method=method, target=target,
@@ -143,9 +187,10 @@
     async def write(self, writer, status, attempt, body, more):
         head = f"HTTP/1.1 {status} X\r\nAttempt-Id: {attempt}\r\nContent-Length: {len(body)}\r\n"
         head += f"Server-Load: {self.running},0,{self.options.slots}\r\n"
-        head += "".join(f"{name}: {value}\r\n" for name, value in more.items())
+        head += "".join(f"{name}: {value}\r\n" for name, value in {**more, **self.notices()}.items())
         writer.write(head.encode() + b"\r\n" + body)
         await writer.drain()
+        self.tell_notices()
         return True
 
 
