--- a/Libraries/LibOperator/fleet_status.cpp
+++ b/Libraries/LibOperator/fleet_status.cpp
@@ -60,6 +60,8 @@
         status.members.push_back(TRY(readMember(member)));
     for (auto const& zone : *TRY(reader.list("zones", maximumMembers)))
         status.zones.push_back(TRY(readZone(zone)));
+    if (value.contains("limited"))
+        status.limited = TRY(reader.texts("limited", maximumMembers));
     TRY(readPlatform(*TRY(reader.value("platform")), status));
     return status;
 }
--- a/Libraries/LibOperator/fleet_status.h
+++ b/Libraries/LibOperator/fleet_status.h
@@ -49,6 +49,8 @@
     // counting as in force.
     std::vector<std::string> silent;
     std::vector<zone_status> zones;
+    // One text for each target that has announced a limit on requests, with its VM and the limit.
+    std::vector<std::string> limited;
     bool isPlatformReachable { true };
     // How long the platform has not answered, in milliseconds.
     std::uint64_t platformSilentMs { 0 };
--- a/Libraries/LibOperator/text_report.cpp
+++ b/Libraries/LibOperator/text_report.cpp
@@ -163,6 +163,8 @@
         text += "  behind: " + joined(status.behind) + "\n";
     if (!status.silent.empty())
         text += "  silent: " + joined(status.silent) + "\n";
+    for (auto const& target : status.limited)
+        text += "  limited: " + target + "\n";
     if (!status.isPlatformReachable)
         text += "  the platform has not answered for " + std::to_string(status.platformSilentMs) + " ms\n";
     return text;
--- a/Meta/measure/main.py
+++ b/Meta/measure/main.py
@@ -15,6 +15,7 @@
     "added-latency": "time that the daemons add to a call, against calls straight to the target",
     "daemon-cost": "processor time and memory of a daemon for control",
     "overload": "goodput at two and five times the slots, and recovery",
+    "limit": "whether limits on requests that targets announce are held and used at twice the load",
     "drain": "calls lost by the planned stop of a target and of a daemon under load",
     "silent-connection": "fate of calls whose connection goes silent for good",
     "herd": "recovery after most daemons die at once",
--- a/Services/Daemon/status_report.cpp
+++ b/Services/Daemon/status_report.cpp
@@ -6,6 +6,7 @@
 #include <LibCore/log.h>
 #include <LibWire/state_names.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_format.h>
 #include <nlohmann/json.hpp>
 
 namespace merlinpier {
@@ -21,11 +22,35 @@
     return name == "leaving" ? member_state::Leaving : member_state::Gone;
 }
 
+constexpr double milli = 1000;
+
+// The targets with a limit on requests, in thousandths of a request a second.
+nlohmann::json limitsJson(member_record const& record)
+{
+    nlohmann::json limits = nlohmann::json::object();
+    for (auto const& target : record.targets) {
+        if (target.requestLimitMilli)
+            limits[target.id] = *target.requestLimitMilli;
+    }
+    return limits;
+}
+
+std::vector<std::string> limitTexts(member_record const& record)
+{
+    std::vector<std::string> texts;
+    for (auto const& target : record.targets) {
+        if (target.requestLimitMilli)
+            texts.push_back(absl::StrFormat("%s on %s (%g requests a second)", target.id, record.vm,
+                static_cast<double>(*target.requestLimitMilli) / milli));
+    }
+    return texts;
+}
+
 nlohmann::json memberJson(member_record const& record)
 {
     return { { "vm", record.vm }, { "zone", record.zone }, { "state", stateName(record.state) },
         { "applied_version", record.appliedVersion }, { "refused_version", record.refusedVersion },
-        { "refused_reason", record.refusedReason } };
+        { "refused_reason", record.refusedReason }, { "request_limits", limitsJson(record) } };
 }
 
 member_record memberFrom(nlohmann::json const& json)
@@ -37,6 +62,12 @@
     record.appliedVersion = json.value("applied_version", std::uint64_t { 0 });
     record.refusedVersion = json.value("refused_version", std::uint64_t { 0 });
     record.refusedReason = json.value("refused_reason", "");
+    auto const limits = json.value("request_limits", std::map<std::string, std::uint64_t> {});
+    for (auto const& [target, limit] : limits) {
+        target_record known { .id = target };
+        known.requestLimitMilli = limit;
+        record.targets.push_back(std::move(known));
+    }
     return record;
 }
 
@@ -181,6 +212,7 @@
     nlohmann::json behind = nlohmann::json::array();
     nlohmann::json silent = nlohmann::json::array();
     nlohmann::json zones = nlohmann::json::array();
+    nlohmann::json limited = nlohmann::json::array();
     version_number highest = summary.highestKnown;
     std::map<std::string, zone_view> views;
     views = m_zones;
@@ -195,6 +227,8 @@
             if (record.state != member_state::Alive)
                 continue;
             ++live;
+            for (auto& text : limitTexts(record))
+                limited.push_back(std::move(text));
             lowest = std::min(lowest, record.appliedVersion);
             if (!view.isReachable || isAmong(view.silent, record.vm))
                 silent.push_back(record.vm);
@@ -210,6 +244,7 @@
     auto const platformSilent = summary.platformSilentFor.value_or(milliseconds(0)).count();
     nlohmann::json const body { { "version", highest }, { "applied", summary.applied }, { "asked", asked },
         { "in_force", inForce }, { "members", members }, { "behind", behind }, { "silent", silent }, { "zones", zones },
+        { "limited", limited },
         { "platform", { { "reachable", !summary.platformSilentFor.has_value() }, { "silent_ms", platformSilent } } } };
     m_responder->respond(jsonResponse(200, body.dump()));
 }
--- a/Tests/LibOperator/operator_commands_test.cpp
+++ b/Tests/LibOperator/operator_commands_test.cpp
@@ -55,7 +55,7 @@
         + R"(,"members":[{"vm":"vm-a","zone":"a","state":"alive","applied_version":7,"refused_version":0,)"
           R"("refused_reason":""},{"vm":"vm-b","zone":"b","state":"alive","applied_version":)"
         + applied + R"(,"refused_version":8,"refused_reason":"no such licence"}],"behind":[)" + behind
-        + R"(],"silent":["vm-c"],"zones":[{"zone":"a","members":1,"applied":7,"reachable":true},)"
+        + R"json(],"silent":["vm-c"],"limited":["t on vm-a (20 requests a second)"],"zones":[{"zone":"a","members":1,"applied":7,"reachable":true},)json"
           R"({"zone":"c","members":1,"applied":5,"reachable":false}],"platform":{"reachable":false,"silent_ms":900}})");
 }
 
@@ -143,8 +143,9 @@
         return commands.waitUntilInForce(7, seconds(5));
     };
     EXPECT_EQ(run(wait, { statusAnswer(false) }), exit_code::WaitTimedOut);
-    for (auto const* part : { "version 7 is not in force", "behind: vm-b", "silent: vm-c", "; unreachable",
-             "vm-b refused version 8: no such licence", "has not answered for 900 ms" })
+    for (auto const* part :
+        { "version 7 is not in force", "behind: vm-b", "silent: vm-c", "limited: t on vm-a (20 requests a second)",
+            "; unreachable", "vm-b refused version 8: no such licence", "has not answered for 900 ms" })
         EXPECT_NE(m_output.str().find(part), std::string::npos) << part << "\n" << m_output.str();
     EXPECT_EQ(run(wait, { unreachable() }), exit_code::Unavailable);
     EXPECT_EQ(run(wait, { ok("{}") }), exit_code::Refused);
--- a/Tests/StandInTarget/target_process_test.cpp
+++ b/Tests/StandInTarget/target_process_test.cpp
@@ -143,6 +143,26 @@
     EXPECT_EQ(m_target->ledger().entries().size(), 1U);
 }
 
+TEST_F(TargetProcessTest, NamesItsLimitAndDepartureInEveryAnswer)
+{
+    target_settings settings;
+    settings.slots = 1;
+    settings.requestLimit = 20;
+    start(settings);
+    auto const limited = send("/slots", { { "Request-Id", "r1" } });
+    EXPECT_EQ(limited.header("Merlinpier-Request-Limit"), std::to_string(20.0));
+    EXPECT_EQ(limited.header("Merlinpier-Leaving"), std::nullopt);
+    auto notice = request("/notice", {});
+    notice.method = "POST";
+    notice.body = R"({"leaving":true})";
+    ASSERT_EQ(sendAndWait(*m_client, notice).releaseValue().status, 200);
+    m_client->send(request("/slots", { { "Request-Id", "r2" }, { "Work-Ms", longWorkMs } }), [](auto) {});
+    waitForState("r2", run_state::Running);
+    auto const shed = send("/slots", { { "Request-Id", "r3" } });
+    EXPECT_EQ(shed.header("Merlinpier-Request-Limit"), std::nullopt);
+    EXPECT_EQ(shed.header("Merlinpier-Leaving"), "true");
+}
+
 TEST_F(TargetProcessTest, CancelsWhenTheConnectionCloses)
 {
     target_settings settings;
--- a/Tests/StandIns/Target/main.cpp
+++ b/Tests/StandIns/Target/main.cpp
@@ -32,6 +32,8 @@
     app.add_option("--slots", options.settings.slots, "calls at once; more are shed")->capture_default_str();
     app.add_option("--work-ms", options.workMs, "work time of a call")->capture_default_str();
     app.add_option("--cold-start-ms", options.coldStartMs, "time until ready")->capture_default_str();
+    app.add_option("--request-limit", options.settings.requestLimit,
+        "requests a second that it says in its answers it takes from all callers; POST /notice changes it");
     app.add_flag("--lie", options.isLying, "health and load endpoints say the opposite of the truth");
 }
 
--- a/Tests/StandIns/Target/target_environment.h
+++ b/Tests/StandIns/Target/target_environment.h
@@ -25,6 +25,8 @@
     milliseconds work { 0 };
     milliseconds coldStart { 0 };
     endpoint_honesty honesty { endpoint_honesty::Honest };
+    // Requests a second that the target says it takes; negative if it names no limit.
+    double requestLimit { -1 };
 };
 
 // What a target says about itself when it announces itself.
@@ -37,15 +39,29 @@
         , timers(timerService)
         , client(httpClient)
         , slots(settings.slots)
+        , requestLimit(settings.requestLimit)
     {
     }
 
+    // Adds to an answer what the target says about itself.
+    http_response withNotices(http_response response) const
+    {
+        if (double const limit = requestLimit; limit >= 0)
+            response.headers.push_back({ "Merlinpier-Request-Limit", std::to_string(limit) });
+        if (isLeaving)
+            response.headers.push_back({ "Merlinpier-Leaving", "true" });
+        return response;
+    }
+
     target_settings const settings;
     timer_service& timers;
     http_client& client;
     work_ledger ledger;
     slot_counter slots;
     std::atomic<target_phase> phase { target_phase::Starting };
+    // What it names in its answers from now on; POST /notice changes it.
+    std::atomic<double> requestLimit;
+    std::atomic<bool> isLeaving { false };
 };
 
 } // namespace merlinpier
--- a/Tests/StandIns/Target/target_handler.cpp
+++ b/Tests/StandIns/Target/target_handler.cpp
@@ -30,9 +30,22 @@
         return responder->respond(health());
     if (request.path == "/load")
         return responder->respond(load());
+    if (request.path == "/notice")
+        return responder->respond(setNotice(request));
     run(std::move(request), std::move(responder));
 }
 
+http_response target_handler::setNotice(http_request const& request)
+{
+    auto const wanted = nlohmann::json::parse(request.body, nullptr, false);
+    if (!wanted.is_object())
+        return jsonResponse(400, R"({"message":"send {\"request_limit\": 20, \"leaving\": false}"})");
+    auto const limit = wanted.find("request_limit");
+    m_environment.requestLimit = limit != wanted.end() && limit->is_number() ? limit->get<double>() : -1;
+    m_environment.isLeaving = wanted.value("leaving", false);
+    return jsonResponse(200, "{}");
+}
+
 // A lying target says the opposite of the truth.
 http_response target_handler::health() const
 {
@@ -53,12 +66,12 @@
 void target_handler::run(http_request request, std::shared_ptr<http_responder> responder)
 {
     if (m_environment.phase == target_phase::Starting)
-        return responder->respond(notRunResponse("the target is still starting"));
+        return responder->respond(m_environment.withNotices(notRunResponse("the target is still starting")));
     auto const remaining = millisecondsHeader(request, "Merlinpier-Deadline-Ms");
     if (remaining && *remaining <= milliseconds::zero())
-        return responder->respond(notRunResponse("the deadline had passed on arrival"));
+        return responder->respond(m_environment.withNotices(notRunResponse("the deadline had passed on arrival")));
     if (!m_environment.slots.tryTake())
-        return responder->respond(notRunResponse("all slots are taken"));
+        return responder->respond(m_environment.withNotices(notRunResponse("all slots are taken")));
     std::make_shared<target_run>(m_environment, std::move(request), std::move(responder))->start();
 }
 
--- a/Tests/StandIns/Target/target_handler.h
+++ b/Tests/StandIns/Target/target_handler.h
@@ -15,6 +15,8 @@
 private:
     http_response health() const;
     http_response load() const;
+    // Takes the limit on requests and the departure that the target names from now on.
+    http_response setNotice(http_request const&);
     void run(http_request, std::shared_ptr<http_responder>);
 
     target_environment& m_environment;
--- a/Tests/StandIns/Target/target_run.cpp
+++ b/Tests/StandIns/Target/target_run.cpp
@@ -74,7 +74,7 @@
         return callNext(next.substr(0, comma), comma == std::string::npos ? "" : next.substr(comma + 1));
     }
     if (end(run_state::Finished))
-        m_responder->respond(jsonResponse(200, answerBody("")));
+        m_responder->respond(m_environment.withNotices(jsonResponse(200, answerBody(""))));
 }
 
 http_client_request target_run::nextRequest(std::string const& nextPath, std::string const& laterPaths) const
@@ -126,7 +126,7 @@
     if (isAnswered)
         next["answer"] = json::parse(outcome.value().body, nullptr, false);
     if (end(run_state::Finished))
-        m_responder->respond(jsonResponse(isAnswered ? 200 : 502, answerBody(next.dump())));
+        m_responder->respond(m_environment.withNotices(jsonResponse(isAnswered ? 200 : 502, answerBody(next.dump()))));
 }
 
 std::string target_run::answerBody(std::string const& nextAnswer) const
@@ -158,7 +158,7 @@
     if (nextCall != 0)
         m_environment.client.cancel(nextCall);
     if (response)
-        m_responder->respond(std::move(*response));
+        m_responder->respond(m_environment.withNotices(std::move(*response)));
 }
 
 bool target_run::end(run_state state)
