--- a/Tests/LibCalls/announced_limits_test.cpp
+++ b/Tests/LibCalls/limited_fleet_test.cpp
@@ -120,8 +120,8 @@
     return settings;
 }
 
-class AnnouncedLimits : public testing::TestWithParam<std::size_t> { };
-class AnnouncedLimitsOfALargeFleet : public testing::TestWithParam<std::size_t> { };
+class LimitedFleetTest : public testing::TestWithParam<std::size_t> { };
+class LimitedLargeFleetTest : public testing::TestWithParam<std::size_t> { };
 
 void expectLimitsHeldAndUsed(std::size_t daemons, duration time)
 {
@@ -154,14 +154,14 @@
 
 // Guards against limits that each daemon keeps by itself, so that the sum exceeds them, and against limits that are
 // kept by leaving capacity unused.
-TEST_P(AnnouncedLimits, AreHeldAndUsedByAllDaemonsTogether) { expectLimitsHeldAndUsed(GetParam(), seconds(10)); }
-TEST_P(AnnouncedLimitsOfALargeFleet, AreHeldAndUsedByAllDaemonsTogether)
+TEST_P(LimitedFleetTest, AreHeldAndUsedByAllDaemonsTogether) { expectLimitsHeldAndUsed(GetParam(), seconds(10)); }
+TEST_P(LimitedLargeFleetTest, AreHeldAndUsedByAllDaemonsTogether)
 {
     expectLimitsHeldAndUsed(GetParam(), seconds(5));
 }
 
 // What is beyond the limit of one target runs at the others.
-TEST_P(AnnouncedLimits, SendTheRestToTargetsWithoutALimit)
+TEST_P(LimitedFleetTest, SendTheRestToTargetsWithoutALimit)
 {
     auto const settings = settingsFor(GetParam(), 2);
     auto const targets = static_cast<double>(settings.targets);
@@ -180,7 +180,7 @@
     EXPECT_LE(refused, 0.01 * static_cast<double>(answered + refused));
 }
 
-TEST_P(AnnouncedLimits, HoldWhenTheyFallAndAreLiftedWhenTheyEnd)
+TEST_P(LimitedFleetTest, HoldWhenTheyFallAndAreLiftedWhenTheyEnd)
 {
     auto const settings = settingsFor(GetParam(), 3);
     auto const targets = static_cast<double>(settings.targets);
@@ -204,7 +204,7 @@
 }
 
 // Guards against a burst after a restart of the target's daemon, which has forgotten the limit.
-TEST_P(AnnouncedLimits, HoldOverRestartsOfTheTargetsDaemons)
+TEST_P(LimitedFleetTest, HoldOverRestartsOfTheTargetsDaemons)
 {
     auto const settings = settingsFor(GetParam(), 4);
     limited_fleet fleet(settings, 2 * limit * static_cast<double>(settings.targets));
@@ -221,11 +221,11 @@
             mostInWindow(fleet.simulation.requestsTo(target), since, fleet.simulation.now()), allowedInWindow(limit));
 }
 
-INSTANTIATE_TEST_SUITE_P(Daemons, AnnouncedLimits, testing::Values(12, 80, 194));
-INSTANTIATE_TEST_SUITE_P(LargeFleet, AnnouncedLimitsOfALargeFleet, testing::Values(1000));
+INSTANTIATE_TEST_SUITE_P(Daemons, LimitedFleetTest, testing::Values(12, 80, 194));
+INSTANTIATE_TEST_SUITE_P(LargeFleet, LimitedLargeFleetTest, testing::Values(1000));
 
 // Links that go silent, lose, repeat and delay frames, and daemons that restart, do not raise what targets get.
-RC_GTEST_PROP(AnnouncedLimitsUnderFaults, NeverExceeded, ())
+RC_GTEST_PROP(LimitedFleetUnderFaults, NeverExceeded, ())
 {
     simulation_settings settings;
     settings.clients = *rc::gen::inRange<std::size_t>(1, 12);
