--- a/Tests/LibCalls/limited_fleet_test.cpp
+++ b/Tests/LibCalls/limited_fleet_test.cpp
@@ -155,10 +155,7 @@
 // Guards against limits that each daemon keeps by itself, so that the sum exceeds them, and against limits that are
 // kept by leaving capacity unused.
 TEST_P(LimitedFleetTest, AreHeldAndUsedByAllDaemonsTogether) { expectLimitsHeldAndUsed(GetParam(), seconds(10)); }
-TEST_P(LimitedLargeFleetTest, AreHeldAndUsedByAllDaemonsTogether)
-{
-    expectLimitsHeldAndUsed(GetParam(), seconds(5));
-}
+TEST_P(LimitedLargeFleetTest, AreHeldAndUsedByAllDaemonsTogether) { expectLimitsHeldAndUsed(GetParam(), seconds(5)); }
 
 // What is beyond the limit of one target runs at the others.
 TEST_P(LimitedFleetTest, SendTheRestToTargetsWithoutALimit)
