LibCalls, LibWire: Know a departure that is announced while the daemon stops

A target that said in an answer that it leaves while its daemon was draining was not recorded as leaving, since it had no state Ready any more; the daemon's next process would have taken it for ready. Found by reading the change; LocalTargets.NameADepartureThatIsAnnouncedWhileTheDaemonStops comes with it. The conversion of limits stands once, in target_record.

--- a/Libraries/LibCalls/admission_queue.cpp
+++ b/Libraries/LibCalls/admission_queue.cpp
@@ -128,8 +128,8 @@
 
 admission_decision::kind admission_queue::capacityRefusal(std::size_t callsAhead, time_point now) const
 {
-    bool const isLimitBinding = m_limiter.expectedWait(callsAhead, now) > duration::zero()
-        && m_limiter.expectedWait(callsAhead, now) >= expectedWait(callsAhead, now);
+    auto const limitWait = m_limiter.expectedWait(callsAhead, now);
+    bool const isLimitBinding = limitWait > duration::zero() && limitWait >= expectedWait(callsAhead, now);
     return isLimitBinding ? admission_decision::kind::RefuseLimit : admission_decision::kind::RefuseOverloaded;
 }
 
--- a/Libraries/LibCalls/local_targets.cpp
+++ b/Libraries/LibCalls/local_targets.cpp
@@ -14,7 +14,6 @@
 constexpr milliseconds departureRetention { 30000 };
 // A change of a target's limit is published if it is larger than this share of the published one.
 constexpr double publishedLimitStep = 0.25;
-constexpr double milli = 1000;
 
 bool isIpv4AddressWithPort(std::string const& text)
 {
@@ -151,6 +150,15 @@
     return empty {};
 }
 
+bool local_targets::didAnnounceDeparture(std::string const& id, time_point now)
+{
+    auto const* target = find(id);
+    if (!target)
+        return false;
+    bool const isKnown = target->startedAt > 0 ? departedStart(id) > 0 : target->state != target_state::Ready;
+    return !isKnown && !retire(id, now).isError();
+}
+
 void local_targets::didDepartBefore(std::string const& id, std::uint64_t startedAt, time_point now)
 {
     auto const known = m_earlyDepartures.find(id);
@@ -275,8 +283,8 @@
         target_record record { id, target.service, target.licence, entry.claim, target.state, slots, departedStart(id),
             target.startedAt };
         auto const limit = m_requestLimits.find(id);
-        if (limit != m_requestLimits.end() && limit->second.published)
-            record.requestLimitMilli = static_cast<std::uint64_t>(*limit->second.published * milli);
+        if (limit != m_requestLimits.end())
+            record.setRequestLimit(limit->second.published);
         records.push_back(std::move(record));
     }
     return records;
--- a/Libraries/LibCalls/local_targets.h
+++ b/Libraries/LibCalls/local_targets.h
@@ -49,6 +49,9 @@
     // If the target is not known yet, as after a restart of the daemon, it starts out draining when it announces
     // itself.
     result<empty> retire(std::string const& id, time_point now);
+    // The target said in an answer that it leaves: it is retired, also if it was only draining because its daemon
+    // stops. Returns whether this was not known.
+    bool didAnnounceDeparture(std::string const& id, time_point now);
     // An earlier process of this daemon has acknowledged that the target's incarnation with this start time is leaving.
     // It gets no new calls, whatever announcement of it arrives late.
     void didDepartBefore(std::string const& id, std::uint64_t startedAt, time_point now);
--- a/Libraries/LibWire/membership_messages.h
+++ b/Libraries/LibWire/membership_messages.h
@@ -13,6 +13,9 @@
 // Whether a VM takes part. Leaving VMs finish what they have.
 enum class member_state : std::uint8_t { Alive, Leaving, Gone };
 
+// Limits on requests are sent in thousandths of a request a second.
+inline constexpr double milliPerRequest = 1000;
+
 // The state of one target, written only by the daemon of the target's VM.
 struct target_record {
     // Unique in the fleet.
@@ -33,6 +36,19 @@
     std::optional<std::uint64_t> requestLimitMilli;
 
     bool operator==(target_record const&) const = default;
+
+    // The limit in requests a second.
+    std::optional<double> requestLimit() const
+    {
+        return requestLimitMilli ? std::optional(static_cast<double>(*requestLimitMilli) / milliPerRequest)
+                                 : std::nullopt;
+    }
+    void setRequestLimit(std::optional<double> requestsPerSecond)
+    {
+        requestLimitMilli.reset();
+        if (requestsPerSecond)
+            requestLimitMilli = static_cast<std::uint64_t>(*requestsPerSecond * milliPerRequest);
+    }
 };
 
 // The state of one VM, written only by its own daemon; but a relay of its zone may set Gone without raising the
--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -11,20 +11,20 @@
 
 namespace {
 
-constexpr double milli = 1000;
+// The metric of a target that takes no requests at all: 0 stands for no limit.
+constexpr double smallestShownLimit = 0.001;
 
 // Requests a second, or null.
-nlohmann::json limitJson(target_record const& target)
+nlohmann::json limitJson(std::optional<double> const& limit)
 {
-    return target.requestLimitMilli ? nlohmann::json(static_cast<double>(*target.requestLimitMilli) / milli)
-                                    : nlohmann::json();
+    return limit ? nlohmann::json(*limit) : nlohmann::json();
 }
 
 nlohmann::json targetJson(target_record const& target)
 {
     return { { "id", target.id }, { "service", target.service }, { "licence", target.licence },
         { "claim", target.claim }, { "state", stateName(target.state) }, { "slots", target.slots },
-        { "request_limit", limitJson(target) } };
+        { "request_limit", limitJson(target.requestLimit()) } };
 }
 
 nlohmann::json memberJson(member_record const& record)
@@ -64,9 +64,9 @@
     auto const totals = owner.calls().totals();
     nlohmann::json targets = nlohmann::json::array();
     for (auto const& [id, load] : owner.targets().loads())
-        targets.push_back({ { "id", id }, { "slots", load.slots }, { "running", load.running },
-            { "queued", load.queued }, { "load_permille", load.loadPermille },
-            { "request_limit", load.requestLimit ? nlohmann::json(*load.requestLimit) : nlohmann::json() } });
+        targets.push_back(
+            { { "id", id }, { "slots", load.slots }, { "running", load.running }, { "queued", load.queued },
+                { "load_permille", load.loadPermille }, { "request_limit", limitJson(load.requestLimit) } });
     return { { "calls", totals.calls }, { "answered", totals.answered }, { "not_run", totals.notRun },
         { "unknown", totals.unknown }, { "retries", totals.retries }, { "queries", totals.queries },
         { "unsettled", owner.calls().unsettled() }, { "ejected", owner.calls().ejected() }, { "own_targets", targets },
@@ -132,9 +132,8 @@
     for (auto const& [id, load] : owner.targets().loads()) {
         auto const label = "{target=\"" + id + "\"}";
         figures.setGauge("merlinpier_target_load_permille" + label, load.loadPermille);
-        // 0 stands for no limit; a limit of 0 shows as the smallest rate.
-        figures.setGauge(
-            "merlinpier_target_request_limit" + label, load.requestLimit ? std::max(*load.requestLimit, 1 / milli) : 0);
+        figures.setGauge("merlinpier_target_request_limit" + label,
+            load.requestLimit ? std::max(*load.requestLimit, smallestShownLimit) : 0);
     }
     return figures.prometheusText();
 }
--- a/Services/Daemon/status_report.cpp
+++ b/Services/Daemon/status_report.cpp
@@ -22,8 +22,6 @@
     return name == "leaving" ? member_state::Leaving : member_state::Gone;
 }
 
-constexpr double milli = 1000;
-
 // The targets with a limit on requests, in thousandths of a request a second.
 nlohmann::json limitsJson(member_record const& record)
 {
@@ -39,9 +37,8 @@
 {
     std::vector<std::string> texts;
     for (auto const& target : record.targets) {
-        if (target.requestLimitMilli)
-            texts.push_back(absl::StrFormat("%s on %s (%g requests a second)", target.id, record.vm,
-                static_cast<double>(*target.requestLimitMilli) / milli));
+        if (auto const limit = target.requestLimit())
+            texts.push_back(absl::StrFormat("%s on %s (%g requests a second)", target.id, record.vm, *limit));
     }
     return texts;
 }
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr double milli = 1000;
-
 char const* verdictName(target_verdict verdict)
 {
     switch (verdict) {
@@ -102,10 +100,8 @@
     for (auto const& target : targets) {
         if (target.departedStart > 0)
             m_targets.didDepartBefore(target.id, target.departedStart, now);
-        bool const hasLimit = target.requestLimitMilli
-            && m_targets.didLimitBefore(
-                target.id, target.startedAt, static_cast<double>(*target.requestLimitMilli) / milli, now);
-        if (hasLimit)
+        auto const limit = target.requestLimit();
+        if (limit && m_targets.didLimitBefore(target.id, target.startedAt, *limit, now))
             applyRequestLimit(target.id, "earlier_process");
     }
     if (!targets.empty())
@@ -250,11 +246,8 @@
     bool const isFromTarget = verdict == target_verdict::Ran || verdict == target_verdict::NotRun;
     if (!isFromTarget)
         return;
-    auto const* known = m_targets.find(target);
-    if (notice.isLeaving && known && known->state == target_state::Ready) {
+    if (notice.isLeaving && m_targets.didAnnounceDeparture(target, currentTime())) {
         logInfo("target_leaving", { { "target", target } });
-        // Cannot fail, since the target is known.
-        (void)m_targets.retire(target, currentTime());
         reportChange();
     }
     if (notice.limitError) {
--- a/Tests/LibCalls/request_limiter_test.cpp
+++ b/Tests/LibCalls/request_limiter_test.cpp
@@ -195,4 +195,17 @@
     EXPECT_EQ(targets.departedStart("unknown"), 0u);
 }
 
+// Guards against a target that leaves while its daemon stops and that the daemon's next process takes for ready.
+TEST(LocalTargets, NameADepartureThatIsAnnouncedWhileTheDaemonStops)
+{
+    local_targets targets;
+    ASSERT_FALSE(targets.announce(announcementOf(5, 1), 0, at(0)).isError());
+    targets.drainAll(at(10));
+    EXPECT_EQ(targets.departedStart("t"), 0u);
+    EXPECT_TRUE(targets.didAnnounceDeparture("t", at(20)));
+    EXPECT_EQ(targets.departedStart("t"), 5u);
+    EXPECT_FALSE(targets.didAnnounceDeparture("t", at(30)));
+    EXPECT_FALSE(targets.didAnnounceDeparture("unknown", at(30)));
+}
+
 } // namespace merlinpier
