--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -29,10 +29,10 @@
         for seed in 4 7; do bash Meta/soak.sh --seed "$seed" --duration 6; done
         ;;
     sanitizers)
-        # MemberBytes only counts bytes with 560 members on one thread; Member.* runs the same code in less time. System
-        # starts the programs of the plain build.
+        # MemberBytes only counts bytes with 560 members on one thread, and LargeFleet/* plays 1,000 daemons; Member.* and
+        # LimitedFleetTest.* run the same code in less time. System starts the programs of the plain build.
         bash Meta/build.sh build-asan -DMERLINPIER_SANITIZER=address,undefined -DCMAKE_BUILD_TYPE=Debug
-        runTests build-asan 'MemberBytes.*' -E System
+        runTests build-asan 'MemberBytes.*:LargeFleet/*' -E System
         bash Meta/build.sh build-tsan -DMERLINPIER_SANITIZER=thread -DCMAKE_BUILD_TYPE=Debug
         # The decision libraries start no thread, so there is nothing in them for ThreadSanitizer to see.
         runTests build-tsan '' -E 'System|LibConfiguration|LibMembership|LibDistribution|LibRouting|LibCalls'
