--- a/Services/Daemon/call_gateway.cpp
+++ b/Services/Daemon/call_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_answer.h"
 
+#include <LibCalls/request_fingerprint.h>
 #include <LibCore/log.h>
 #include <algorithm>
 
@@ -25,7 +26,8 @@
             { "kind", request.policy ? request.policy->name : "" },
             { "priority", request.policy ? static_cast<int>(request.policy->priority) : 0 },
             { "version", m_snapshot ? m_snapshot->version() : 0 },
-            { "remaining_ms", request.remaining ? request.remaining->count() : 0 } });
+            { "remaining_ms", request.remaining ? request.remaining->count() : 0 },
+            { "request", fingerprintText(requestFingerprint(request.caller, request.path, request.body)) } });
     auto const number = ++m_lastCaller;
     m_callers.emplace(id, waiting_caller { number, std::move(completion), currentTime() });
     auto const done = carryOut(m_client.start(std::move(request), currentTime(), m_generator));
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_answer.h"
 
+#include <LibCalls/request_fingerprint.h>
 #include <LibCore/log.h>
 #include <LibHttp/http_message.h>
 #include <LibWire/state_names.h>
@@ -28,6 +29,11 @@
     return "corrupt";
 }
 
+std::string fingerprintOf(call_request const& call)
+{
+    return fingerprintText(requestFingerprint(call.caller, call.path, call.body));
+}
+
 call_answer answerFrom(std::string const& id, http_response response)
 {
     call_answer answer;
@@ -210,8 +216,9 @@
         auto const& failure = response.failure();
         bool const wasSent = failure.kind != error_kind::Unavailable;
         logWarning("target_failed",
-            { { "call", id }, { "target", ended.run.call.target }, { "may_have_run", wasSent ? "yes" : "no" },
-                { "after_ms", toMilliseconds(spent) }, { "reason", failure.message } });
+            { { "call", id }, { "target", ended.run.call.target }, { "request", fingerprintOf(ended.run.call) },
+                { "may_have_run", wasSent ? "yes" : "no" }, { "after_ms", toMilliseconds(spent) },
+                { "reason", failure.message } });
         carryOut(wasSent ? m_server.didLose(id, now) : m_server.didRefuse(id, refusal_reason::TargetUnreachable, now));
         return;
     }
