--- a/Tests/LibCalls/call_simulation.cpp
+++ b/Tests/LibCalls/call_simulation.cpp
@@ -22,11 +22,7 @@
     m_configuration = makeConfiguration({ makeService("slots", licences, settings.slots, settings.deadline) });
     m_servers.resize(settings.targets);
     for (std::size_t i = 0; i < settings.targets; ++i) {
-        auto const id = std::to_string(i);
-        auto const announced = m_servers[i].targets.announce(
-            { "t" + id, "slots", "L" + id, "127.0.0.1:9000", target_state::Ready }, 0, m_now);
-        if (announced.isError())
-            throw std::invalid_argument(announced.failure().text());
+        announceTarget(i);
         restartServer(i);
     }
     for (std::size_t i = 0; i < settings.clients; ++i) {
@@ -72,6 +68,33 @@
     return m_settings.latency + microseconds(uniformBelow(m_random, m_settings.latency.count() / 2));
 }
 
+void call_simulation::announceTarget(std::size_t server)
+{
+    auto& node = m_servers[server];
+    auto const id = std::to_string(server);
+    target_announcement announcement { "t" + id, "slots", "L" + id, "127.0.0.1:9000", target_state::Ready };
+    announcement.startedAt = node.startedAt;
+    announcement.sequence = 1;
+    auto const announced = node.targets.announce(announcement, 0, m_now);
+    if (announced.isError())
+        throw std::invalid_argument(announced.failure().text());
+}
+
+void call_simulation::crash(std::size_t target)
+{
+    auto& node = m_servers[target];
+    node.isDown = true;
+    node.working = 0;
+    for (auto const& [id, run] : std::exchange(node.runs, {}))
+        applyServer(target, node.decisions->didLose(id, m_now));
+    at(m_now + m_settings.downAfterCrash, [=, this] {
+        auto& returned = m_servers[target];
+        returned.isDown = false;
+        ++returned.startedAt;
+        announceTarget(target);
+    });
+}
+
 void call_simulation::restartServer(std::size_t index)
 {
     auto& node = m_servers[index];
@@ -296,7 +319,7 @@
             applyServer(server, report(*owner.decisions));
         });
     };
-    if (m_settings.downTarget == server || happens(m_settings.faults.unreachable))
+    if (m_settings.downTarget == server || node.isDown || happens(m_settings.faults.unreachable))
         return end(milliseconds(1), [=, this](call_server& decisions) {
             return decisions.didRefuse(id, refusal_reason::TargetUnreachable, m_now);
         });
@@ -306,6 +329,18 @@
         return end(milliseconds(1),
             [=, this](call_server& decisions) { return decisions.didRefuse(id, refusal_reason::Overloaded, m_now); });
     ++m_runs[id];
+    if (!m_settings.crashingBody.empty() && run.call.body == m_settings.crashingBody) {
+        m_crashingRuns.push_back(m_now);
+        at(m_now + m_settings.work, [=, this] {
+            auto const& owner = m_servers[server];
+            auto const found = owner.runs.find(id);
+            if (found == owner.runs.end() || found->second != number)
+                return;
+            m_crashes.push_back(m_now);
+            crash(server);
+        });
+        return;
+    }
     bool const isReport = run.call.callClass == call_class::Report;
     auto const mean = std::chrono::duration<double>(isReport ? m_settings.reportWork : m_settings.work);
     // Runs in excess of the slots share the machine: each takes proportionally longer.
--- a/Tests/LibCalls/call_simulation.h
+++ b/Tests/LibCalls/call_simulation.h
@@ -39,6 +39,10 @@
     milliseconds reportWork { 100 };
     // Index of a target that its daemon cannot reach.
     std::optional<std::size_t> downTarget;
+    // Requests with this body crash the target that runs them; nothing crashes if it is empty.
+    std::string crashingBody;
+    // How long a target that has crashed is down before its next incarnation starts.
+    milliseconds downAfterCrash { 3000 };
     // As in call_client_settings.
     std::optional<shared_budget_settings> sharedBudget;
     fault_rates faults;
@@ -81,6 +85,12 @@
     void setRequestLimit(std::size_t target, std::optional<double> limit) { m_servers[target].namedLimit = limit; }
     // Restarts the target's daemon, which learns of its former record when the others learn of its restart.
     void restart(std::size_t target);
+    // The target's process ends now; its next incarnation starts after downAfterCrash.
+    void crash(std::size_t target);
+    // When targets ended under a crashing request.
+    std::vector<time_point> const& crashes() const { return m_crashes; }
+    // When each crashing request began to run.
+    std::vector<time_point> const& crashingRuns() const { return m_crashingRuns; }
     // When each request was sent to the target.
     std::vector<time_point> const& requestsTo(std::size_t target) const { return m_servers[target].requests; }
 
@@ -105,6 +115,9 @@
         std::size_t working { 0 };
         std::optional<double> namedLimit;
         std::vector<time_point> requests;
+        // Start time of the target's incarnation.
+        std::uint64_t startedAt { 1 };
+        bool isDown { false };
     };
     struct event {
         time_point at;
@@ -129,6 +142,7 @@
     void startRun(std::size_t server, run_call const&);
     void endRun(std::size_t server, std::uint64_t instance, std::string const& id, std::uint64_t run, call_answer);
     void finish(std::size_t client, complete_call const&);
+    void announceTarget(std::size_t server);
     void nameLimit(std::size_t server, time_point sentAt);
     void learnFormerLimit(std::size_t server);
     std::size_t indexOf(std::string const& address) const { return std::stoul(address.substr(2)); }
@@ -147,6 +161,8 @@
     std::map<std::pair<std::size_t, std::size_t>, link> m_links;
     std::vector<call_history> m_history;
     std::map<std::string, int> m_runs;
+    std::vector<time_point> m_crashes;
+    std::vector<time_point> m_crashingRuns;
     std::function<void(call_history const&)> m_observer;
     std::size_t m_maximumQueued { 0 };
 };
