LibCalls: Clear what ends well elsewhere, and block sooner only what never has

Simulated racks (half of 97 targets ending within 100 ms, eight times in 32 s) left up to 4,552 of 172,000 innocent requests refused: a request asked for all the time was suspected wherever a target ended, and a trial that ended with its rack blocked it for ten minutes. A daemon where the request ended well within the last second now clears it there, an answer clears it at the caller's daemon, and against a request known to end well only crashes in trials count. State dump and metrics show suspects and blocks.

--- a/Libraries/LibCalls/crashing_requests.cpp
+++ b/Libraries/LibCalls/crashing_requests.cpp
@@ -58,17 +58,18 @@
 
 void crashing_requests::didEndWell(std::uint64_t request, run_place place, time_point now)
 {
-    if (m_knownGood.insert(request).second && m_knownGood.size() >= m_settings.maximumKnownGood) {
+    if (m_knownGood.size() >= m_settings.maximumKnownGood && !m_knownGood.contains(request))
         m_knownGoodBefore = std::exchange(m_knownGood, {});
-        m_knownGood.insert(request);
-    }
-    if (place == run_place::OwnTarget)
-        clear(request, now);
+    m_knownGood[request] = now;
+    clear(request, place == run_place::OwnTarget ? publication::Publish : publication::KeepHere, now);
 }
 
-bool crashing_requests::lift(std::uint64_t request, time_point now) { return clear(request, now); }
+bool crashing_requests::lift(std::uint64_t request, time_point now)
+{
+    return clear(request, publication::Publish, now);
+}
 
-bool crashing_requests::clear(std::uint64_t request, time_point now)
+bool crashing_requests::clear(std::uint64_t request, publication mode, time_point now)
 {
     auto const found = m_requests.find(request);
     if (found == m_requests.end() || found->second.count() == 0)
@@ -76,7 +77,7 @@
     auto const known = found->second.crashes;
     for (auto const& [crash, finding] : known) {
         crash_report const report { request, crash, crash_finding::Cleared };
-        if (record(report, now))
+        if (record(report, now) && mode == publication::Publish)
             publish(report);
     }
     return true;
@@ -85,8 +86,13 @@
 void crashing_requests::learn(std::vector<crash_report> const& reports, report_origin origin, time_point now)
 {
     for (auto const& report : reports) {
-        if (record(report, now) && origin == report_origin::Own)
+        if (!record(report, now))
+            continue;
+        if (origin == report_origin::Own)
             publish(report);
+        auto const goodEnd = lastGoodEnd(report.request);
+        if (goodEnd && now - *goodEnd <= m_settings.recentGoodEnd)
+            clear(report.request, publication::KeepHere, now);
     }
 }
 
@@ -151,17 +157,24 @@
         ++m_ownRevision;
 }
 
-bool crashing_requests::isKnownGood(std::uint64_t request) const
+std::optional<time_point> crashing_requests::lastGoodEnd(std::uint64_t request) const
 {
-    return m_knownGood.contains(request) || m_knownGoodBefore.contains(request);
+    for (auto const* ends : { &m_knownGood, &m_knownGoodBefore }) {
+        if (auto const found = ends->find(request); found != ends->end())
+            return found->second;
+    }
+    return std::nullopt;
 }
 
-std::optional<time_point> crashing_requests::blockedUntil(evidence const& known) const
+std::optional<time_point> crashing_requests::blockedUntil(std::uint64_t request, evidence const& known) const
 {
-    auto const crashes = known.count();
-    if (crashes < crashesForBlock || known.countTested() == 0)
+    // Against a request that has ended well, only crashes in trials count, and one more of them.
+    auto const tested = known.countTested();
+    auto const crashes = isKnownGood(request) ? tested : known.count();
+    if (crashes < crashesForBlock || tested == 0)
         return std::nullopt;
-    return known.learnedAt + (crashes < crashesForLongBlock ? m_settings.firstBlock : m_settings.longBlock);
+    bool const isLong = crashes >= crashesForLongBlock;
+    return known.learnedAt + (isLong ? m_settings.longBlock : m_settings.firstBlock);
 }
 
 request_standing crashing_requests::standing(std::uint64_t request, time_point now) const
@@ -169,14 +182,14 @@
     auto const found = m_requests.find(request);
     if (found == m_requests.end() || found->second.count() == 0)
         return request_standing::Clear;
-    auto const until = blockedUntil(found->second);
+    auto const until = blockedUntil(request, found->second);
     return until && now < *until ? request_standing::Blocked : request_standing::Suspect;
 }
 
 duration crashing_requests::blockedFor(std::uint64_t request, time_point now) const
 {
     auto const found = m_requests.find(request);
-    auto const until = found == m_requests.end() ? std::nullopt : blockedUntil(found->second);
+    auto const until = found == m_requests.end() ? std::nullopt : blockedUntil(request, found->second);
     return until ? std::max(duration::zero(), *until - now) : duration::zero();
 }
 
--- a/Libraries/LibCalls/crashing_requests.h
+++ b/Libraries/LibCalls/crashing_requests.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/time.h>
 #include <LibWire/crash_report.h>
-#include <absl/container/flat_hash_set.h>
+#include <absl/container/flat_hash_map.h>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -17,11 +17,14 @@
 enum class request_standing { Clear, Suspect, Blocked };
 
 struct crashing_requests_settings {
-    // A request is blocked after its second crash, one of them in a trial, so that one that was only near two crashes
-    // is not refused for long; then it gets another trial.
+    // The block after the second crash, if one of them was in a trial. It is short, since targets also crash for other
+    // reasons during a trial; then the request gets another one.
     milliseconds firstBlock { 5000 };
     // The block after the third crash and each further one.
     milliseconds longBlock { 600000 };
+    // A crash that becomes known this soon after the request has ended well here does not count here: several targets
+    // may crash at the same time for another reason.
+    milliseconds recentGoodEnd { 1000 };
     // How long a crash counts against a request, and how long it is known that a crash does not.
     milliseconds crashRetention { 3600000 };
     milliseconds clearanceRetention { 900000 };
@@ -63,8 +66,8 @@
     // A target of this VM crashed while these requests ran there. Only the first report of a crash counts, as it comes
     // with all of its runs.
     void didCrash(std::uint64_t crash, std::vector<crashed_run> const&, time_point now);
-    // A run of the request ended with a whole answer of a target. At a target of this VM this clears the request of all
-    // crashes; the daemon of another VM publishes that itself.
+    // A run of the request ended with a whole answer of a target, which clears it of all crashes. The daemon of the
+    // target publishes that.
     enum class run_place { OwnTarget, OtherVm };
     void didEndWell(std::uint64_t request, run_place, time_point now);
     // Reports of another daemon, or, as Own, of an earlier process of this one, which this one goes on to publish.
@@ -106,12 +109,15 @@
         std::size_t countTested() const;
     };
 
+    enum class publication { Publish, KeepHere };
     // Returns whether the report was new.
     bool record(crash_report const&, time_point now);
     void publish(crash_report const&);
-    bool clear(std::uint64_t request, time_point now);
-    bool isKnownGood(std::uint64_t request) const;
-    std::optional<time_point> blockedUntil(evidence const&) const;
+    bool clear(std::uint64_t request, publication, time_point now);
+    // When the request last ended well; nothing if that is not remembered.
+    std::optional<time_point> lastGoodEnd(std::uint64_t request) const;
+    bool isKnownGood(std::uint64_t request) const { return lastGoodEnd(request).has_value(); }
+    std::optional<time_point> blockedUntil(std::uint64_t request, evidence const&) const;
     void dropOldest();
 
     crashing_requests_settings m_settings;
@@ -120,9 +126,9 @@
     std::vector<crash_report> m_own;
     std::uint64_t m_ownRevision { 0 };
     std::vector<standing_change> m_changes;
-    // Requests that ended well lately: when the newer half is full it replaces the older one.
-    absl::flat_hash_set<std::uint64_t> m_knownGood;
-    absl::flat_hash_set<std::uint64_t> m_knownGoodBefore;
+    // Requests that ended well lately, and when: when the newer half is full it replaces the older one.
+    absl::flat_hash_map<std::uint64_t, time_point> m_knownGood;
+    absl::flat_hash_map<std::uint64_t, time_point> m_knownGoodBefore;
     // The newest crashes of targets of this VM.
     std::deque<std::uint64_t> m_ownCrashes;
 };
--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -1,5 +1,6 @@
 #include "state_dump.h"
 
+#include <LibCalls/request_fingerprint.h>
 #include <LibWire/state_names.h>
 
 #include <algorithm>
@@ -87,6 +88,30 @@
     return services;
 }
 
+char const* standingName(request_standing standing)
+{
+    switch (standing) {
+    case request_standing::Clear:
+        return "clear";
+    case request_standing::Suspect:
+        return "suspect";
+    case request_standing::Blocked:
+        return "blocked";
+    }
+    return "clear";
+}
+
+nlohmann::json crashingRequestsJson(daemon& owner)
+{
+    nlohmann::json requests = nlohmann::json::array();
+    for (auto const& suspect : owner.crashing().suspects(currentTime()))
+        requests.push_back({ { "request", fingerprintText(suspect.evidence.request) },
+            { "standing", standingName(suspect.evidence.standing) }, { "crashes", suspect.evidence.crashes },
+            { "tested_crashes", suspect.evidence.testedCrashes },
+            { "blocked_ms", toMilliseconds(suspect.blockedFor) } });
+    return requests;
+}
+
 nlohmann::json transportJson(daemon& owner)
 {
     auto const totals = owner.hub().totals();
@@ -111,7 +136,8 @@
     nlohmann::json const dump { { "vm", owner.settings().vm }, { "zone", owner.settings().zone },
         { "instance", owner.instance() }, { "draining", owner.isDraining() },
         { "configuration", configurationJson(owner) }, { "membership", membershipJson(owner) },
-        { "routes", routesJson(owner) }, { "calls", callsJson(owner) }, { "transport", transportJson(owner) } };
+        { "routes", routesJson(owner) }, { "calls", callsJson(owner) },
+        { "crashing_requests", crashingRequestsJson(owner) }, { "transport", transportJson(owner) } };
     return dump.dump();
 }
 
@@ -127,6 +153,12 @@
     figures.setGauge("merlinpier_control_bytes", static_cast<double>(owner.hub().controlBytes()));
     figures.setGauge("merlinpier_peer_connections", static_cast<double>(totals.connectionsOpen));
     figures.setGauge("merlinpier_retries", static_cast<double>(owner.calls().totals().retries));
+    auto const suspects = owner.crashing().suspects(currentTime());
+    auto const blocked = std::count_if(suspects.begin(), suspects.end(),
+        [](auto const& suspect) { return suspect.evidence.standing == request_standing::Blocked; });
+    figures.setGauge("merlinpier_blocked_requests", static_cast<double>(blocked));
+    figures.setGauge(
+        "merlinpier_suspected_requests", static_cast<double>(suspects.size()) - static_cast<double>(blocked));
     figures.setGauge("merlinpier_resident_bytes", residentBytes());
     figures.setGauge("merlinpier_members", static_cast<double>(owner.membership().table().records().size()));
     for (auto const& [id, load] : owner.targets().loads()) {
--- a/Tests/LibCalls/call_simulation.cpp
+++ b/Tests/LibCalls/call_simulation.cpp
@@ -107,7 +107,8 @@
     call_server_settings settings;
     settings.instance = node.instance;
     settings.admission = m_settings.admission;
-    m_reports[index] = { std::make_shared<crashing_requests>(), 0 };
+    m_reports[index].decisions = std::make_shared<crashing_requests>();
+    m_reports[index].revision = 0;
     node.decisions = std::make_unique<call_server>(settings, m_reports[index].decisions);
     // Only the daemon restarts: runs at its targets continue, but their ends are not reported.
     node.runs.clear();
@@ -153,25 +154,26 @@
         if (daemon.decisions->ownRevision() == daemon.revision)
             continue;
         daemon.revision = daemon.decisions->ownRevision();
+        daemon.record = daemon.decisions->ownReports();
         for (std::size_t to = 0; to < m_reports.size(); ++to) {
             if (to == from)
                 continue;
             auto const delay
                 = m_settings.reportDelay / 2 + milliseconds(uniformBelow(m_random, m_settings.reportDelay.count() + 1));
-            at(m_now + delay, [=, this, reports = daemon.decisions->ownReports()] {
+            at(m_now + delay, [=, this, reports = daemon.record] {
                 m_reports[to].decisions->learn(reports, crashing_requests::report_origin::Other, m_now);
             });
         }
     }
 }
 
-// The daemon has restarted and learns what the others publish.
+// The daemon has restarted and learns what is published, and from its peers what it has published itself before.
 void call_simulation::learnReports(std::size_t daemon)
 {
     for (std::size_t other = 0; other < m_reports.size(); ++other) {
-        if (other != daemon)
-            m_reports[daemon].decisions->learn(
-                m_reports[other].decisions->ownReports(), crashing_requests::report_origin::Other, m_now);
+        auto const origin
+            = other == daemon ? crashing_requests::report_origin::Own : crashing_requests::report_origin::Other;
+        m_reports[daemon].decisions->learn(m_reports[other].record, origin, m_now);
     }
 }
 
--- a/Tests/LibCalls/call_simulation.h
+++ b/Tests/LibCalls/call_simulation.h
@@ -108,6 +108,8 @@
     struct published_reports {
         std::shared_ptr<crashing_requests> decisions;
         std::uint64_t revision { 0 };
+        // As in the daemon's member record.
+        std::vector<crash_report> record;
     };
     struct client_node {
         std::unique_ptr<call_client> decisions;
