--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -394,7 +394,8 @@
     std::vector<server_action> actions;
     m_checked.erase(target);
     auto const* announced = targets.find(target);
-    bool const isLeaving = announced && announced->state != target_state::Ready;
+    bool const isLeaving
+        = announced && (announced->state == target_state::Draining || announced->state == target_state::Gone);
     if (condition == target_condition::Refusing && !isLeaving)
         blameRuns(target, now);
     for (auto const& id : m_ledger.runningAt(target)) {
--- a/Libraries/LibCalls/local_targets.cpp
+++ b/Libraries/LibCalls/local_targets.cpp
@@ -265,6 +265,13 @@
     }
 }
 
+void local_targets::didEnd(std::string const& id)
+{
+    auto const found = m_entries.find(id);
+    if (found != m_entries.end() && found->second.announcement.state == target_state::Ready)
+        found->second.announcement.state = target_state::Starting;
+}
+
 target_announcement const* local_targets::find(std::string const& id) const
 {
     auto const found = m_entries.find(id);
--- a/Libraries/LibCalls/local_targets.h
+++ b/Libraries/LibCalls/local_targets.h
@@ -55,6 +55,8 @@
     // An earlier process of this daemon has acknowledged that the target's incarnation with this start time is leaving.
     // It gets no new calls, whatever announcement of it arrives late.
     void didDepartBefore(std::string const& id, std::uint64_t startedAt, time_point now);
+    // The target's process was found to have ended. It gets no calls until it announces itself again.
+    void didEnd(std::string const& id);
     void drainAll(time_point now);
     // The target named its limit on requests in an answer, in requests a second, or named none. The call that it
     // answered was sent to it at the given time: a limit ends only with an answer to a call that was sent after the
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -186,22 +186,31 @@
 
 void target_gateway::check(check_target const& wanted)
 {
+    if (!m_checkedTargets.insert(wanted.target).second)
+        return;
     m_http.checkListener(wanted.targetAddress, targetCheckTimeout,
         [this, target = wanted.target, alive = std::weak_ptr(m_isAlive)](listener_state state) {
-            if (!alive.lock())
-                return;
-            bool const isRefusing = state == listener_state::Refusing;
-            if (isRefusing) {
-                m_metrics.add("merlinpier_target_crashes_total");
-                logWarning("target_crashed", { { "target", target } });
-            }
-            auto const condition = state == listener_state::Listening ? target_condition::Accepting
-                : isRefusing                                          ? target_condition::Refusing
-                                                                      : target_condition::Unknown;
-            carryOut(m_server.didCheckTarget(target, condition, m_targets, currentTime()));
+            if (alive.lock())
+                didCheck(target, state);
         });
 }
 
+void target_gateway::didCheck(std::string const& target, listener_state state)
+{
+    m_checkedTargets.erase(target);
+    bool const hasEnded = state == listener_state::Refusing;
+    auto const condition = state == listener_state::Listening ? target_condition::Accepting
+        : hasEnded                                            ? target_condition::Refusing
+                                                              : target_condition::Unknown;
+    carryOut(m_server.didCheckTarget(target, condition, m_targets, currentTime()));
+    if (!hasEnded)
+        return;
+    m_metrics.add("merlinpier_targets_ended_total");
+    logWarning("target_ended", { { "target", target } });
+    m_targets.didEnd(target);
+    reportChange();
+}
+
 void target_gateway::didRefuse(call_refused const& refused)
 {
     auto const reason = reasonName(refused.reason);
@@ -243,9 +252,10 @@
             { { "call", id }, { "target", ended.run.call.target }, { "request", fingerprintOf(ended.run.call) },
                 { "may_have_run", wasSent ? "yes" : "no" }, { "after_ms", toMilliseconds(spent) },
                 { "reason", failure.message } });
-        if (!wasSent)
+        if (!wasSent) {
             carryOut(m_server.didRefuse(id, refusal_reason::TargetUnreachable, now));
-        else if (failure.kind == error_kind::ConnectionLost)
+            check({ ended.run.call.target, ended.run.targetAddress });
+        } else if (failure.kind == error_kind::ConnectionLost)
             carryOut(m_server.didBreakOff(id));
         else
             carryOut(m_server.didLose(id, now));
--- a/Services/Daemon/target_gateway.h
+++ b/Services/Daemon/target_gateway.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,7 +53,9 @@
     void didRefuse(call_refused const&);
     void run(run_call);
     void didEnd(std::string const& id, result<http_response>);
+    // Finds out whether the target's process still takes connections, unless that is under way.
     void check(check_target const&);
+    void didCheck(std::string const& target, listener_state);
     void reportChange();
     // Takes in what a target says about itself in an answer to a call that was sent to it at the given time.
     void didReceiveNotice(std::string const& target, target_notice const&, target_verdict, time_point sentAt);
@@ -73,6 +76,7 @@
     call_server m_server;
     std::shared_ptr<configuration_set const> m_configuration;
     std::map<std::string, running_exchange> m_exchanges;
+    std::set<std::string> m_checkedTargets;
     std::vector<target_record> m_lastRecords;
     // Shared with the callbacks of exchanges, which do nothing once the gateway is gone.
     std::shared_ptr<bool> m_isAlive;
--- a/Tests/platform/announced_limit_test.cpp
+++ b/Tests/platform/announced_limit_test.cpp
@@ -1,10 +1,4 @@
-#include <Services/Daemon/target_gateway.h>
-#include <Tests/LibLoop/loop_fixture.h>
-#include <Tests/LibRouting/fleet_fixture.h>
-#include <gtest/gtest.h>
-#include <memory>
-#include <platform/worker_dialect.h>
-#include <string>
+#include <Tests/platform/gateway_fixture.h>
 #include <vector>
 
 // A target in need names in its answers how many requests a second it takes from all VMs together, and a target that
@@ -14,7 +8,6 @@
 
 namespace {
 
-constexpr std::uint64_t ownInstance = 1;
 constexpr double limitPerSecond = 20;
 constexpr milliseconds callPeriod { 10 };
 constexpr milliseconds callTime { 2500 };
@@ -22,16 +15,6 @@
 constexpr double allowedFactor = 1.5;
 constexpr double allowedExtra = 5;
 
-class unused_listener final : public hub_listener {
-    void didReceiveControl(std::string const&, message) override { }
-    void didFailToReachControl(std::string const&) override { }
-    void didAcceptCalls(std::uint64_t, std::uint64_t) override { }
-    void didReceiveFromOrigin(std::string const&, std::uint64_t, std::uint64_t, message) override { }
-    void didReceiveFromTarget(std::string const&, message) override { }
-    void didBecomeReadyForCalls(std::string const&, std::uint64_t, std::uint64_t) override { }
-    void didBecomeUnreachableForCalls(std::string const&) override { }
-};
-
 // Answers every request at once, with the headers that the target adds to its answers.
 class answering_target final : public http_client {
 public:
@@ -57,53 +40,17 @@
     event_loop& m_loop;
 };
 
-class AnnouncedLimitTest : public testing::Test {
+class AnnouncedLimitTest : public fixture::gateway_test<answering_target> {
 protected:
-    AnnouncedLimitTest()
-    {
-        m_gateway.setConfiguration(fixture::makeConfiguration({ fixture::makeService("slots", { "L" }, 100) }));
-        target_announcement const announcement { "t", "slots", "L", "127.0.0.1:9000", target_state::Ready };
-        EXPECT_FALSE(m_gateway.announce(announcement, 0).isError());
-    }
-
-    void call()
-    {
-        ++m_calls;
-        call_request request;
-        request.id = attempt_identifier { "call" + std::to_string(m_calls), m_calls, false }.text();
-        request.instance = ownInstance;
-        request.service = "slots";
-        request.target = "t";
-        request.entryPoint = "lookup";
-        request.method = "GET";
-        request.path = "/slots/1";
-        request.headers = { { "Attempt-Id", "a" + std::to_string(m_calls) } };
-        request.isIdempotent = true;
-        request.remainingMs = 500;
-        m_gateway.didReceive(ownInstance, 1, request);
-    }
-
     void callFor(milliseconds time)
     {
         auto const calls = m_loop->subscribe(callPeriod, [this] { call(); });
         auto const ticks = m_loop->subscribe(callPeriod, [this] { m_gateway.tick(); });
         auto const end = currentTime() + time;
-        EXPECT_TRUE(fixture::runUntil(*m_loop, [&] { return currentTime() >= end; }));
+        EXPECT_TRUE(merlinpier::fixture::runUntil(*m_loop, [&] { return currentTime() >= end; }));
         m_loop->cancel(calls);
         m_loop->cancel(ticks);
     }
-
-    std::unique_ptr<event_loop> m_loop { fixture::makeLoop() };
-    unused_listener m_listener;
-    peer_hub m_hub { { "vm", "zone-a", "127.0.0.1:1", ownInstance }, m_listener };
-    answering_target m_target { *m_loop };
-    worker_dialect m_dialect;
-    metrics m_metrics;
-    target_gateway m_gateway { call_server_settings { .instance = ownInstance }, milliseconds(60000),
-        std::make_shared<crashing_requests>(), m_hub, m_target, m_dialect, m_metrics };
-
-private:
-    std::size_t m_calls { 0 };
 };
 
 } // namespace
