--- a/Libraries/LibCalls/crashing_requests.h
+++ b/Libraries/LibCalls/crashing_requests.h
@@ -17,9 +17,9 @@
 enum class request_standing { Clear, Suspect, Blocked };
 
 struct crashing_requests_settings {
-    // The block after the second crash, if one of them was in a trial. It is shorter, since targets also crash for other
-    // reasons during a trial; then the request gets another one. After a loss of all daemons, with what they knew, a
-    // request crashes two targets again, and no third one within this time.
+    // The block after the second crash, if one of them was in a trial. It is shorter, since targets also crash for
+    // other reasons during a trial; then the request gets another one. After a loss of all daemons, with what they
+    // knew, a request crashes two targets again, and no third one within this time.
     milliseconds firstBlock { 60000 };
     // The block after the third crash and each further one.
     milliseconds longBlock { 600000 };
