--- a/Meta/soak/checks.py
+++ b/Meta/soak/checks.py
@@ -17,6 +17,9 @@
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
 LIMIT_WINDOW_S = 4.0
+# A request that has crashed so many targets is sent to targets at most so many times more.
+CRASHES = 3
+RUNS_AFTER_CRASHES = 3
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -32,6 +35,8 @@
         self.leaving_named = {}
         # When requests reached each instance, those included that it turned away.
         self.arrivals = defaultdict(list)
+        # When targets ended under a request that crashes them, by path.
+        self.crashes = defaultdict(list)
         # Dictionaries with vm, instance, limit, at and until: who named which limit, first and last.
         self.limits = []
         # (begin, end, vm or None for all, is planned)
@@ -55,7 +60,7 @@
 def violations(history):
     """Returns (promise, what was seen) for each broken promise."""
     found = []
-    for check in (whole_answers, at_most_once, true_refusals, unasked, drained, left_alone, limited, planned_stops,
+    for check in (whole_answers, at_most_once, true_refusals, unasked, drained, left_alone, limited, contained, planned_stops,
                   never_back, in_force, retry_budget):
         found += [(check.__name__, what) for what in check(history)]
     return found
@@ -122,6 +127,18 @@
                 break
 
 
+def contained(history):
+    for target, crashes in history.crashes.items():
+        if len(crashes) < CRASHES:
+            continue
+        known = sorted(crashes)[CRASHES - 1] + STABLE_S
+        late = [run["at"] for attempt, runs in history.runs.items() for run in runs
+                if run["target"] == target and run["at"] > known
+                and history.is_calm(history.sent[attempt]["vm"], run["at"], run["at"], True)]
+        if len(late) > RUNS_AFTER_CRASHES:
+            yield f"{target} ran {len(late)} times after it had crashed {CRASHES} targets; {len(crashes)} ended in all"
+
+
 def planned_stops(history):
     for attempt, outcome in history.outcomes.items():
         sent = history.sent[attempt]
@@ -175,4 +192,4 @@
     return {"requests": len(history.sent), "runs": sum(map(len, history.runs.values())),
             "repeats": sum(len(runs) - 1 for runs in history.runs.values()), "statuses": dict(statuses),
             "versions": len(history.versions), "probes": len(history.probes), "limits": len(history.limits),
-            "leaving": len(history.leaving_named)}
+            "leaving": len(history.leaving_named), "crashes": sum(map(len, history.crashes.values()))}
--- a/Meta/soak/clients.py
+++ b/Meta/soak/clients.py
@@ -5,7 +5,7 @@
 import time
 
 from fleet import PORTS, SERVICES
-from worker import signature
+from worker import CRASHING_PREFIX, signature
 
 # Callers come back after a refusal for at most this share of the time they allow.
 READ_LIMIT = 1 << 20
@@ -13,6 +13,7 @@
 PATIENCE_S = 0.5
 READINESS_PERIOD_S = 0.5
 PROBE_PERIOD_S = 0.4
+CRASHING_PAUSE_S = 0.3
 
 
 async def read_answer(reader):
@@ -108,6 +109,25 @@
         return outcome
 
 
+class CrashingCaller:
+    """Sends one request that crashes its targets again and again, at any VM of one service."""
+
+    def __init__(self, soak, seeded):
+        self.soak = soak
+        self.seeded = seeded
+        service = seeded.choice(SERVICES)
+        self.callers = [Caller(soak, vm, seeded) for vm in soak.vms if vm.service == service]
+        self.service = seeded.choice(SERVICES)
+        self.target = f"{CRASHING_PREFIX}{soak.seed}"
+
+    async def run(self):
+        while not self.soak.is_over:
+            caller = self.seeded.choice(self.callers)
+            if caller.vm.is_ready:
+                await caller.call("GET", f"{self.service}.example", self.target, True, {self.service}, b"")
+            await asyncio.sleep(self.seeded.expovariate(1 / CRASHING_PAUSE_S))
+
+
 class Prober(Caller):
     """Asks each daemon for what only newer versions have, and polls its readiness as the platform does."""
 
--- a/Meta/soak/fleet.py
+++ b/Meta/soak/fleet.py
@@ -105,6 +105,8 @@
                 self.history.leaving[told["instance"]] = told["at"]
             elif told["event"] == "leaving_named":
                 self.history.leaving_named[told["instance"]] = told["at"]
+            elif told["event"] == "crashed":
+                self.history.crashes[told["target"]].append(told["at"])
             elif told["event"] == "arrived":
                 self.history.arrivals[told["instance"]].append(told["at"])
             elif told["event"] == "limit_named":
--- a/Meta/soak/main.py
+++ b/Meta/soak/main.py
@@ -18,7 +18,7 @@
 
 import checks  # noqa: E402
 import plan  # noqa: E402
-from clients import Caller, Prober  # noqa: E402
+from clients import Caller, CrashingCaller, Prober  # noqa: E402
 from fleet import SERVICES, Vm, store_address  # noqa: E402
 from harms import Harms  # noqa: E402
 from store import Store  # noqa: E402
@@ -68,6 +68,9 @@
                 for _ in range(CALLERS_PER_VM):
                     caller = Caller(self, vm, random.Random(self.seeded.random()))
                     tasks.append(asyncio.ensure_future(caller.run()))
+            if self.seed % plan.PLANNED_ONLY_EVERY != 0:
+                crashing = CrashingCaller(self, random.Random(self.seed + 3))
+                tasks.append(asyncio.ensure_future(crashing.run()))
             began = time.time()
             await self.harm()
             recovered = await self.recover()
--- a/Meta/soak/worker.py
+++ b/Meta/soak/worker.py
@@ -16,6 +16,8 @@
 HEARTBEAT_TIMEOUT_S = 1.0
 # How long a target that leaves goes on serving after its daemon has acknowledged that.
 DRAIN_S = 2.0
+# A target that runs a request to such a path ends.
+CRASHING_PREFIX = "/read/crash-"
 # Requests a second that a target takes while it names a limit; well below what its callers send.
 LIMITS_PER_S = (2, 10)
 
@@ -169,6 +171,9 @@
             await asyncio.sleep(self.random.uniform(0.5, 1.5) * self.options.work)
         finally:
             self.running -= 1
+        if target.startswith(CRASHING_PREFIX):
+            tell(event="crashed", instance=self.options.id, target=target)
+            os._exit(1)
         content = hashlib.sha256(attempt.encode()).digest() * self.random.choice([1, 10, 160])
         fate = self.random.random()
         if fate < self.options.spoil / 2:
