Tests/LibCalls: Count the outcomes of a property against the cases played

Cause: it expects 1,000, 100 and 100 outcomes of the three kinds, which fits the 200 cases that CTest plays; without RC_PARAMS RapidCheck plays 100.

--- a/Tests/LibCalls/call_property_test.cpp
+++ b/Tests/LibCalls/call_property_test.cpp
@@ -85,7 +85,9 @@
 TEST(CallProperty, EveryCallHasOneTrueOutcomeUnderAnyFaults)
 {
     std::map<std::size_t, int> outcomes;
+    int cases = 0;
     EXPECT_TRUE(rc::check([&] {
+        ++cases;
         auto const settings = arbitrarySettings();
         call_simulation simulation(settings);
         runCalls(simulation, settings.clients, *rc::gen::inRange(1, 60));
@@ -94,10 +96,11 @@
             ++outcomes[call.outcomes[0].index()];
         }
     }));
-    // Each kind of outcome has to occur, otherwise the property does not test it.
-    EXPECT_GT(outcomes[0], 1000);
-    EXPECT_GT(outcomes[1], 100);
-    EXPECT_GT(outcomes[2], 100);
+    // Each kind of outcome has to occur often, otherwise the property does not test it: in 200 cases, as CI plays, 1,000
+    // answers, 100 refusals and 100 unknown outcomes.
+    EXPECT_GT(outcomes[0], 5 * cases);
+    EXPECT_GT(2 * outcomes[1], cases);
+    EXPECT_GT(2 * outcomes[2], cases);
 }
 
 TEST(CallProperty, AKeyedCallRunsAtMostOnceWhicheverClientRepeatsIt)
