Daemon, LibOperator: List crashing requests, and lift their blocks

An operator saw blocks in the state dump only and could not end one before its time. merlinpier suspects lists what a daemon knows, merlinpier lift clears the request in the whole fleet by the reports that a good end makes.

--- a/Libraries/LibCalls/request_fingerprint.h
+++ b/Libraries/LibCalls/request_fingerprint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/result.h>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -12,5 +13,7 @@
 
 // The fingerprint as it appears in logs and commands: 16 hexadecimal digits.
 std::string fingerprintText(std::uint64_t fingerprint);
+// BadInput if the text is not of that form.
+result<std::uint64_t> parseFingerprint(std::string_view text);
 
 } // namespace merlinpier
--- a/Libraries/LibOperator/daemon_client.cpp
+++ b/Libraries/LibOperator/daemon_client.cpp
@@ -42,6 +42,15 @@
     return exchange(request, path);
 }
 
+result<std::string> daemon_client::remove(std::string const& path, milliseconds timeout)
+{
+    http_client_request request;
+    request.method = "DELETE";
+    request.timeout = timeout;
+    request.reuse = connection_reuse::Forbidden;
+    return exchange(request, path);
+}
+
 result<std::string> daemon_client::exchange(http_client_request const& request, std::string const& path)
 {
     bool const isRead = request.method == "GET";
--- a/Libraries/LibOperator/daemon_client.h
+++ b/Libraries/LibOperator/daemon_client.h
@@ -22,6 +22,8 @@
     // Returns the body of the answer. Fails with Unavailable if no daemon is reachable, and with OutcomeUnknown if a
     // daemon may have processed the request; the next call then goes to another daemon.
     result<std::string> post(std::string const& path, std::string const& body, milliseconds timeout);
+    // As post(), to take something back.
+    result<std::string> remove(std::string const& path, milliseconds timeout);
 
 private:
     result<std::string> exchange(http_client_request const&, std::string const& path);
--- a/Libraries/LibOperator/operator_commands.cpp
+++ b/Libraries/LibOperator/operator_commands.cpp
@@ -246,6 +246,17 @@
     }
 }
 
+exit_code operator_commands::suspects()
+{
+    return print(m_client.get("/crashing-requests", readTimeout), describeCrashingRequests);
+}
+
+exit_code operator_commands::lift(std::string const& fingerprint)
+{
+    return print(
+        m_client.remove("/crashing-requests/" + percentEncoded(fingerprint), readTimeout), describeCrashingRequests);
+}
+
 exit_code operator_commands::dump(std::string const& vm)
 {
     return print(m_client.get("/state?vm=" + percentEncoded(vm), readTimeout), indented);
--- a/Libraries/LibOperator/operator_commands.h
+++ b/Libraries/LibOperator/operator_commands.h
@@ -60,6 +60,10 @@
     // Waits until every live daemon that is not silent has applied the version; after the timeout, lists those that
     // have not.
     exit_code waitUntilInForce(std::uint64_t version, milliseconds timeout);
+    // Lists the requests that are suspected of crashing targets or blocked for it.
+    exit_code suspects();
+    // Takes all crashes off a request, so that it runs again everywhere.
+    exit_code lift(std::string const& fingerprint);
     // Prints the internal state of the daemon on this VM, as JSON.
     exit_code dump(std::string const& vm);
 
--- a/Libraries/LibOperator/text_report.cpp
+++ b/Libraries/LibOperator/text_report.cpp
@@ -103,6 +103,22 @@
     return text;
 }
 
+std::string crashingRequestsText(nlohmann::json const& value)
+{
+    auto const& requests = value.at("requests");
+    if (requests.empty())
+        return "no request is suspected of crashing targets\n";
+    std::string text;
+    for (auto const& request : requests) {
+        auto const blockedMs = request.at("blocked_ms").get<std::int64_t>();
+        text += request.at("request").get<std::string>() + " " + request.at("standing").get<std::string>() + ": "
+            + numberText(request.at("crashes")) + " crashes, " + numberText(request.at("tested_crashes"))
+            + " of them in a trial" + (blockedMs > 0 ? "; blocked for " + std::to_string(blockedMs) + " ms" : "")
+            + "\n";
+    }
+    return text;
+}
+
 std::string zoneLine(zone_status const& zone)
 {
     return "  zone " + padded(zone.zone, 16) + std::to_string(zone.members) + " live daemons, all at version "
@@ -144,6 +160,8 @@
 
 result<std::string> describeHistory(std::string_view body) { return describe(body, historyText); }
 
+result<std::string> describeCrashingRequests(std::string_view body) { return describe(body, crashingRequestsText); }
+
 result<std::string> indented(std::string_view body) { return describe(body, dump); }
 
 std::string describeStatus(fleet_status const& status)
--- a/Libraries/LibOperator/text_report.h
+++ b/Libraries/LibOperator/text_report.h
@@ -20,6 +20,8 @@
 result<std::string> answersOfService(std::string_view body);
 // The recent submissions, newest first, from GET /config/history.
 result<std::string> describeHistory(std::string_view body);
+// The requests that are suspected or blocked, from GET /crashing-requests.
+result<std::string> describeCrashingRequests(std::string_view body);
 // Any JSON, with indentation.
 result<std::string> indented(std::string_view body);
 
--- a/Services/Daemon/operator_api.cpp
+++ b/Services/Daemon/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "state_dump.h"
 #include "status_report.h"
 
+#include <LibCalls/request_fingerprint.h>
 #include <LibConfiguration/submission_json.h>
 #include <LibCore/log.h>
 #include <random>
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr std::string_view servicesPath = "/config/services";
+constexpr std::string_view crashingRequestsPath = "/crashing-requests";
 constexpr milliseconds dumpTimeout { 3000 };
 
 } // namespace
@@ -47,6 +49,10 @@
         responder->respond(check(request));
     } else if (path == "/config/history") {
         history(responder);
+    } else if (path == crashingRequestsPath) {
+        responder->respond(jsonResponse(200, crashingRequests(m_daemon)));
+    } else if (path.starts_with(std::string(crashingRequestsPath) + "/") && request.method == "DELETE") {
+        responder->respond(liftBlock(path.substr(crashingRequestsPath.size() + 1)));
     } else if (path == servicesPath) {
         responder->respond(services());
     } else if (path.starts_with(std::string(servicesPath) + "/")) {
@@ -134,6 +140,18 @@
     return jsonResponse(200, serializeServiceConfiguration(generated.value()));
 }
 
+http_response operator_api::liftBlock(std::string const& fingerprint)
+{
+    auto const request = parseFingerprint(fingerprint);
+    if (request.isError())
+        return errorResponse(request.failure());
+    if (!m_daemon.crashing().lift(request.value(), currentTime()))
+        return errorResponse({ error_kind::NotFound, "request " + fingerprint + " is not suspected here",
+            "see merlinpier suspects for the requests that are" });
+    logInfo("request_lifted", { { "request", fingerprint } });
+    return jsonResponse(200, crashingRequests(m_daemon));
+}
+
 http_response operator_api::services() const
 {
     auto const applied = m_daemon.configuration().applied();
--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -141,6 +141,11 @@
     return dump.dump();
 }
 
+std::string crashingRequests(daemon& owner)
+{
+    return nlohmann::json { { "requests", crashingRequestsJson(owner) } }.dump();
+}
+
 std::string metricsText(daemon& owner)
 {
     auto& figures = owner.figures();
--- a/Services/Daemon/state_dump.h
+++ b/Services/Daemon/state_dump.h
@@ -10,6 +10,9 @@
 // relays, connections, targets, slots, queues, totals.
 std::string stateDump(daemon&);
 
+// The requests that are suspected of crashing targets or blocked, as a JSON object.
+std::string crashingRequests(daemon&);
+
 // The content of /metrics: what parts count by themselves and what is read off them now.
 std::string metricsText(daemon&);
 
--- a/Tests/LibCalls/call_property_test.cpp
+++ b/Tests/LibCalls/call_property_test.cpp
@@ -96,8 +96,8 @@
             ++outcomes[call.outcomes[0].index()];
         }
     }));
-    // Each kind of outcome has to occur often, otherwise the property does not test it: in 200 cases, as CI plays, 1,000
-    // answers, 100 refusals and 100 unknown outcomes.
+    // Each kind of outcome has to occur often, otherwise the property does not test it: in 200 cases, as CI plays,
+    // 1,000 answers, 100 refusals and 100 unknown outcomes.
     EXPECT_GT(outcomes[0], 5 * cases);
     EXPECT_GT(2 * outcomes[1], cases);
     EXPECT_GT(2 * outcomes[2], cases);
--- a/Tests/LibCalls/request_fingerprint_test.cpp
+++ b/Tests/LibCalls/request_fingerprint_test.cpp
@@ -15,4 +15,12 @@
     EXPECT_EQ(fingerprintText(0x1f), "000000000000001f");
 }
 
+TEST(RequestFingerprint, ParsesItsTextAndRejectsOther)
+{
+    EXPECT_EQ(parseFingerprint("00000000deadbeef").value(), 0xdeadbeefU);
+    for (auto const* text :
+        { "", "deadbeef", "00000000deadbeeg", "00000000deadbeef0", "0x000000deadbeef", "-000000000000001" })
+        EXPECT_EQ(parseFingerprint(text).failure().kind, error_kind::BadInput) << text;
+}
+
 } // namespace merlinpier
--- a/Tests/LibOperator/operator_commands_test.cpp
+++ b/Tests/LibOperator/operator_commands_test.cpp
@@ -179,4 +179,20 @@
     EXPECT_TRUE(hasError("\"service\" of the answers is missing"));
 }
 
+TEST_F(OperatorCommandsTest, ListsAndLiftsCrashingRequests)
+{
+    auto const list = ok(R"({"requests":[{"request":"00000000deadbeef","standing":"blocked","crashes":3,)"
+                         R"("tested_crashes":1,"blocked_ms":59000}]})");
+    EXPECT_EQ(run([](auto& commands) { return commands.suspects(); }, { list }), exit_code::Success);
+    EXPECT_EQ(m_output.str(), "00000000deadbeef blocked: 3 crashes, 1 of them in a trial; blocked for 59000 ms\n");
+    EXPECT_EQ(run([](auto& commands) { return commands.lift("00000000deadbeef"); }, { ok(R"({"requests":[]})") }),
+        exit_code::Success);
+    EXPECT_EQ(m_http.requests[0].method, "DELETE");
+    EXPECT_EQ(m_http.requests[0].url, "http://10.0.0.1:80/crashing-requests/00000000deadbeef");
+    EXPECT_EQ(m_output.str(), "no request is suspected of crashing targets\n");
+    error const unknown { error_kind::NotFound, "not suspected", "" };
+    EXPECT_EQ(run([](auto& commands) { return commands.lift("00000000deadbeef"); }, { refused(unknown) }),
+        exit_code::Refused);
+}
+
 } // namespace merlinpier
--- a/Utilities/merlinpier/main.cpp
+++ b/Utilities/merlinpier/main.cpp
@@ -24,6 +24,8 @@
   merlinpier revise slots.json --base 1 --daemon 10.0.0.1:8080
   merlinpier status --wait 2 --timeout 60 --daemon 10.0.0.1:8080
   merlinpier dump vm-a1 --daemon 10.0.0.1:8080
+  merlinpier suspects --daemon 10.0.0.1:8080
+  merlinpier lift 9f3ad2c81be07745 --daemon 10.0.0.1:8080
 
 Exit codes:
   0  done
@@ -53,6 +55,7 @@
     std::uint64_t waitedVersion { 0 };
     bool answersAlone { false };
     std::string vm;
+    std::string request;
 };
 
 // CLI11 validators return an empty text for what is valid.
@@ -117,6 +120,9 @@
     app.add_subcommand("history", "List the recent accepted submissions");
     auto* const status = app.add_subcommand("status", "Show which daemon has applied which version");
     status->add_option("--wait", line.waitedVersion, "Wait until this version is in force")->check(CLI::PositiveNumber);
+    app.add_subcommand("suspects", "List the requests that are suspected of crashing targets, or blocked for it");
+    auto* const lift = app.add_subcommand("lift", "Let such a request run again");
+    lift->add_option("request", line.request, "Its fingerprint: 16 hexadecimal digits")->required();
     auto* const dump = app.add_subcommand("dump", "Print the state of a daemon as JSON");
     dump->add_option("vm", line.vm, "Name of the daemon's VM")->required();
 }
@@ -174,6 +180,10 @@
         return runShow(commands, line);
     if (command == "history")
         return commands.history();
+    if (command == "suspects")
+        return commands.suspects();
+    if (command == "lift")
+        return commands.lift(line.request);
     if (command == "dump")
         return commands.dump(line.vm);
     if (line.waitedVersion > 0)
