--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -1,24 +1,12 @@
 #include <LibCalls/call_server.h>
 
-#include <LibCalls/refusal_rules.h>
 #include <LibCalls/request_fingerprint.h>
-#include <LibCore/digest.h>
 #include <algorithm>
 
 namespace merlinpier {
 
 namespace {
 
-// Retry-after time of refusals that are not caused by load: routes are usually updated by then.
-constexpr milliseconds retryAfterRouteChange { 100 };
-// Retry-after time of calls that cannot wait for the trials of others.
-constexpr milliseconds retryAfterTrials { 500 };
-// A target reports a failure at once when a call that it needs has failed.
-constexpr milliseconds innerFailureDelay { 50 };
-
-// Names the incarnation of a target that crashed.
-std::uint64_t crashIdentifier(std::string const& target, std::uint64_t startedAt) { return hash64(target, startedAt); }
-
 refusal_reason reasonOf(admission_decision::kind refusal)
 {
     switch (refusal) {
@@ -103,41 +91,6 @@
     return actions;
 }
 
-void call_server::offer(ledger_entry const& entry, time_point now, std::vector<server_action>& actions)
-{
-    auto const& call = entry.call;
-    if (entry.isTrial && m_trials.current(call.target) != call.id) {
-        auto const verdict = m_trials.add(call.target, call.id);
-        if (verdict == target_trials::verdict::Wait)
-            return;
-        if (verdict == target_trials::verdict::Refuse) {
-            refuseWaiters(std::string(call.id), refusal_reason::Overloaded, retryAfterTrials, now, actions);
-            return;
-        }
-    }
-    apply(m_queues[call.target].offer(
-              { call.id, call.callClass, entry.deadline, call.entryPoint, call.priority, entry.objective, call.isLate },
-              now),
-        now, actions);
-}
-
-void call_server::continueTrials(time_point now, std::vector<server_action>& actions)
-{
-    for (auto const& id : m_trials.waiting()) {
-        auto const* entry = m_ledger.find(id);
-        if (entry && m_crashing->standing(entry->request, now) == request_standing::Blocked) {
-            auto const blockedFor = std::chrono::ceil<milliseconds>(m_crashing->blockedFor(entry->request, now));
-            refuseWaiters(id, refusal_reason::CrashesTargets, blockedFor, now, actions);
-        } else if (entry && now + m_settings.deadlineMargin >= entry->deadline) {
-            refuseWaiters(id, refusal_reason::DeadlineTooShort, retryAfterTrials, now, actions);
-        }
-    }
-    for (auto const& id : m_trials.takeNext()) {
-        if (auto const* entry = m_ledger.find(id))
-            offer(*entry, now, actions);
-    }
-}
-
 bool call_server::wasAdmitted(call_waiter const& waiter, attempt_identifier const& attempt, time_point now)
 {
     return m_ledger.findWaiter(waiter, attempt.call)
@@ -282,49 +235,6 @@
     }
 }
 
-std::vector<server_action> call_server::didFinish(std::string const& id, call_answer answer, time_point now)
-{
-    std::vector<server_action> actions;
-    auto* entry = m_ledger.find(id);
-    if (!entry || entry->state != run_state::Running)
-        return actions;
-    auto const call = entry->call;
-    auto const decisions = m_queues[call.target].release(id, admission_queue::learning::Learn, now);
-    m_trials.remove(call.target, id);
-    m_crashing->didEndWell(entry->request, crashing_requests::run_place::OwnTarget, now);
-    bool const hasFailed = isFailureStatus(answer.status);
-    answer.isInnerFailure = hasFailed && m_lastInnerFailure && now - *m_lastInnerFailure <= innerFailureDelay;
-    answer.loadPermille = loadOf(call.target, now);
-    answer.serviceUs = serviceUsOf(call);
-    answer.version = m_version;
-    m_ledger.finish(id, std::move(answer), now);
-    for (auto const& waiter : entry->waiters)
-        reply(*entry, waiter, now, actions);
-    if (entry->waiters.empty() && !entry->isKeyed)
-        m_ledger.erase(id);
-    apply(decisions, now, actions);
-    continueTrials(now, actions);
-    return actions;
-}
-
-std::vector<server_action> call_server::didRefuse(std::string const& id, refusal_reason reason, time_point now)
-{
-    std::vector<server_action> actions;
-    auto const* entry = m_ledger.find(id);
-    if (!entry || entry->state != run_state::Running)
-        return actions;
-    auto& queue = m_queues[entry->call.target];
-    auto const decisions = queue.release(id, admission_queue::learning::Ignore, now);
-    auto const serviceTime = queue.serviceTime(entry->call.entryPoint, entry->call.callClass);
-    auto const retryAfter = isLoadRefusal(reason)
-        ? std::max(std::chrono::ceil<milliseconds>(serviceTime), milliseconds(1))
-        : retryAfterRouteChange;
-    refuseWaiters(id, reason, retryAfter, now, actions);
-    apply(decisions, now, actions);
-    continueTrials(now, actions);
-    return actions;
-}
-
 std::vector<server_action> call_server::didStartDraining(std::string const& target, time_point now)
 {
     std::vector<server_action> actions;
@@ -353,72 +263,6 @@
     return actions;
 }
 
-std::vector<server_action> call_server::didLose(std::string const& id, time_point now)
-{
-    std::vector<server_action> actions;
-    lose(id, now, actions);
-    continueTrials(now, actions);
-    return actions;
-}
-
-void call_server::lose(std::string const& id, time_point now, std::vector<server_action>& actions)
-{
-    auto* entry = m_ledger.find(id);
-    if (!entry || entry->state != run_state::Running)
-        return;
-    auto const decisions = m_queues[entry->call.target].release(id, admission_queue::learning::Ignore, now);
-    m_trials.remove(entry->call.target, id);
-    m_ledger.markLost(*entry, now);
-    for (auto const& waiter : entry->waiters)
-        reply(*entry, waiter, now, actions);
-    if (entry->waiters.empty() && !entry->isKeyed)
-        m_ledger.erase(id);
-    apply(decisions, now, actions);
-}
-
-std::vector<server_action> call_server::didBreakOff(std::string const& id)
-{
-    std::vector<server_action> actions;
-    auto* entry = m_ledger.find(id);
-    if (!entry || entry->state != run_state::Running)
-        return actions;
-    entry->isBroken = true;
-    if (m_checked.insert(entry->call.target).second)
-        actions.push_back(check_target { entry->call.target, entry->targetAddress });
-    return actions;
-}
-
-std::vector<server_action> call_server::didCheckTarget(
-    std::string const& target, target_condition condition, local_targets const& targets, time_point now)
-{
-    std::vector<server_action> actions;
-    m_checked.erase(target);
-    auto const* announced = targets.find(target);
-    bool const isLeaving
-        = announced && (announced->state == target_state::Draining || announced->state == target_state::Gone);
-    if (condition == target_condition::Refusing && !isLeaving)
-        blameRuns(target, now);
-    for (auto const& id : m_ledger.runningAt(target)) {
-        if (m_ledger.find(id)->isBroken)
-            lose(id, now, actions);
-    }
-    continueTrials(now, actions);
-    return actions;
-}
-
-// Counts the crash of the target against the requests that ran there. Connections that have not been seen to end yet
-// belong to the same crash.
-void call_server::blameRuns(std::string const& target, time_point now)
-{
-    std::map<std::uint64_t, std::vector<crashed_run>> runsByCrash;
-    for (auto const& id : m_ledger.runningAt(target)) {
-        auto const& entry = *m_ledger.find(id);
-        runsByCrash[crashIdentifier(target, entry.targetStart)].push_back({ entry.request, entry.isTrial });
-    }
-    for (auto const& [crash, runs] : runsByCrash)
-        m_crashing->didCrash(crash, runs, now);
-}
-
 std::vector<server_action> call_server::tick(time_point now)
 {
     std::vector<server_action> actions;
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -140,6 +140,9 @@
     std::map<std::string, target_load> loads(time_point now) const;
 
 private:
+    // Retry-after time of refusals that are not caused by load: routes are usually updated by then.
+    static constexpr milliseconds retryAfterRouteChange { 100 };
+
     admission_queue& queueOf(call_request const&, service_configuration const&, target_announcement const&);
     bool wasAdmitted(call_waiter const&, attempt_identifier const&, time_point now);
     bool handleKnownAttempt(call_origin const&, attempt_identifier const&, call_request const&, time_point now,
