--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -344,6 +344,9 @@
     call.isLate = record.isLate;
     call.isRetry = record.arrivals > 1;
     call.crashReports = m_crashing->reportsAbout(record.fingerprint);
+    call.tenant = request.tenant;
+    call.tenantPriority = request.tenantPriority;
+    call.isBulk = record.policy.isBulk;
     return call;
 }
 
--- a/Libraries/LibCalls/caller_request.h
+++ b/Libraries/LibCalls/caller_request.h
@@ -33,6 +33,10 @@
     double retriedShare { 0 };
     // Policy of the route, if it has one; otherwise the policy of the service's entry point applies.
     std::optional<call_policy> policy;
+    // The tenant that the request belongs to; empty if it belongs to none.
+    std::string tenant {};
+    // The tenant's priority, which goes before that of the route; nothing if it has none.
+    std::optional<std::uint32_t> tenantPriority {};
 
     bool operator==(caller_request const&) const = default;
 };
--- a/Libraries/LibCalls/refusal_rules.cpp
+++ b/Libraries/LibCalls/refusal_rules.cpp
@@ -32,6 +32,8 @@
     case refusal_reason::CrashesTargets:
         return "targets crashed whenever they ran this request; have the service mended, or lift the block if it is "
                "wrong";
+    case refusal_reason::AllotmentUsed:
+        return "the tenant has used up its allotment; retry after the given time";
     }
     return "not run";
 }
--- a/Libraries/LibConfiguration/call_policy.h
+++ b/Libraries/LibConfiguration/call_policy.h
@@ -24,6 +24,10 @@
     // Maximum number of attempts of one call that may reach a target; 0 for no limit. The limit in the daemon's
     // settings applies as well.
     std::uint32_t maximumAttempts { 0 };
+    // Whether answers are large and may come late.
+    bool isBulk { false };
+    // Whether requests need no key of a tenant, where the deployment has tenants.
+    bool allowsAnonymous { false };
 
     bool operator==(call_policy const&) const = default;
 };
--- a/Libraries/LibConfiguration/route_fragment.cpp
+++ b/Libraries/LibConfiguration/route_fragment.cpp
@@ -21,7 +21,8 @@
     auto const services = writeList(builder, value.services, encodeShare);
     return wire::CreateRoute(builder, name, host, prefix, services, value.policy.isIdempotent, value.policy.priority,
         static_cast<std::uint32_t>(value.policy.timeout.count()),
-        static_cast<std::uint32_t>(value.policy.latencyObjective.count()), value.policy.maximumAttempts);
+        static_cast<std::uint32_t>(value.policy.latencyObjective.count()), value.policy.maximumAttempts,
+        value.policy.isBulk, value.policy.allowsAnonymous);
 }
 
 weighted_service decodeShare(wire_reader& reader, wire::RouteShare const& table)
@@ -41,6 +42,8 @@
     read.policy.timeout = milliseconds(table.timeout_ms());
     read.policy.latencyObjective = milliseconds(table.latency_objective_ms());
     read.policy.maximumAttempts = table.maximum_attempts();
+    read.policy.isBulk = table.is_bulk();
+    read.policy.allowsAnonymous = table.allows_anonymous();
     return read;
 }
 
--- a/Libraries/LibConfiguration/route_fragment_generated.h
+++ b/Libraries/LibConfiguration/route_fragment_generated.h
@@ -27,7 +27,6 @@
 
 struct RouteShare FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RouteShareBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
     VT_WEIGHT = 6
@@ -78,11 +77,6 @@
   return builder_.Finish();
 }
 
-struct RouteShare::Traits {
-  using type = RouteShare;
-  static auto constexpr Create = CreateRouteShare;
-};
-
 inline flatbuffers::Offset<RouteShare> CreateRouteShareDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *service = nullptr,
@@ -96,7 +90,6 @@
 
 struct Route FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RouteBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NAME = 4,
     VT_HOST = 6,
@@ -106,7 +99,9 @@
     VT_PRIORITY = 14,
     VT_TIMEOUT_MS = 16,
     VT_LATENCY_OBJECTIVE_MS = 18,
-    VT_MAXIMUM_ATTEMPTS = 20
+    VT_MAXIMUM_ATTEMPTS = 20,
+    VT_IS_BULK = 22,
+    VT_ALLOWS_ANONYMOUS = 24
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -135,6 +130,12 @@
   uint32_t maximum_attempts() const {
     return GetField<uint32_t>(VT_MAXIMUM_ATTEMPTS, 0);
   }
+  bool is_bulk() const {
+    return GetField<uint8_t>(VT_IS_BULK, 0) != 0;
+  }
+  bool allows_anonymous() const {
+    return GetField<uint8_t>(VT_ALLOWS_ANONYMOUS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -151,6 +152,8 @@
            VerifyField<uint32_t>(verifier, VT_TIMEOUT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_LATENCY_OBJECTIVE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_MAXIMUM_ATTEMPTS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_BULK, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ALLOWS_ANONYMOUS, 1) &&
            verifier.EndTable();
   }
 };
@@ -186,6 +189,12 @@
   void add_maximum_attempts(uint32_t maximum_attempts) {
     fbb_.AddElement<uint32_t>(Route::VT_MAXIMUM_ATTEMPTS, maximum_attempts, 0);
   }
+  void add_is_bulk(bool is_bulk) {
+    fbb_.AddElement<uint8_t>(Route::VT_IS_BULK, static_cast<uint8_t>(is_bulk), 0);
+  }
+  void add_allows_anonymous(bool allows_anonymous) {
+    fbb_.AddElement<uint8_t>(Route::VT_ALLOWS_ANONYMOUS, static_cast<uint8_t>(allows_anonymous), 0);
+  }
   explicit RouteBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -207,7 +216,9 @@
     uint32_t priority = 0,
     uint32_t timeout_ms = 0,
     uint32_t latency_objective_ms = 0,
-    uint32_t maximum_attempts = 0) {
+    uint32_t maximum_attempts = 0,
+    bool is_bulk = false,
+    bool allows_anonymous = false) {
   RouteBuilder builder_(_fbb);
   builder_.add_maximum_attempts(maximum_attempts);
   builder_.add_latency_objective_ms(latency_objective_ms);
@@ -217,15 +228,12 @@
   builder_.add_path_prefix(path_prefix);
   builder_.add_host(host);
   builder_.add_name(name);
+  builder_.add_allows_anonymous(allows_anonymous);
+  builder_.add_is_bulk(is_bulk);
   builder_.add_is_idempotent(is_idempotent);
   return builder_.Finish();
 }
 
-struct Route::Traits {
-  using type = Route;
-  static auto constexpr Create = CreateRoute;
-};
-
 inline flatbuffers::Offset<Route> CreateRouteDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *name = nullptr,
@@ -236,7 +244,9 @@
     uint32_t priority = 0,
     uint32_t timeout_ms = 0,
     uint32_t latency_objective_ms = 0,
-    uint32_t maximum_attempts = 0) {
+    uint32_t maximum_attempts = 0,
+    bool is_bulk = false,
+    bool allows_anonymous = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto path_prefix__ = path_prefix ? _fbb.CreateString(path_prefix) : 0;
@@ -251,12 +261,13 @@
       priority,
       timeout_ms,
       latency_objective_ms,
-      maximum_attempts);
+      maximum_attempts,
+      is_bulk,
+      allows_anonymous);
 }
 
 struct RouteFragment FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RouteFragmentBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ROUTES = 4
   };
@@ -298,11 +309,6 @@
   return builder_.Finish();
 }
 
-struct RouteFragment::Traits {
-  using type = RouteFragment;
-  static auto constexpr Create = CreateRouteFragment;
-};
-
 inline flatbuffers::Offset<RouteFragment> CreateRouteFragmentDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<merlinpier::wire::Route>> *routes = nullptr) {
--- a/Libraries/LibWire/call_codec.cpp
+++ b/Libraries/LibWire/call_codec.cpp
@@ -51,10 +51,14 @@
     auto const headers = writeList(builder, value.headers, encodeHeader);
     auto const caller = writeText(builder, value.caller);
     auto const crashReports = writeList(builder, value.crashReports, encodeCrashReport);
+    auto const tenant = writeText(builder, value.tenant);
+    auto const tenantPriority = value.tenantPriority ? flatbuffers::Optional<std::uint32_t>(*value.tenantPriority)
+                                                     : flatbuffers::Optional<std::uint32_t>();
     auto const callClass = static_cast<wire::CallClass>(value.callClass);
     return wire::CreateCall(builder, id, value.instance, value.generation, service, target, entryPoint, method, path,
         headers, body, callClass, value.isIdempotent, value.remainingMs, value.hops, value.version, caller,
-        value.priority, value.onlyIfFree, value.objectiveMs, value.isLate, value.isRetry, crashReports);
+        value.priority, value.onlyIfFree, value.objectiveMs, value.isLate, value.isRetry, crashReports, tenant,
+        tenantPriority, value.isBulk);
 }
 
 flatbuffers::Offset<wire::CallAnswer> encode(flatbuffers::FlatBufferBuilder& builder, call_answer const& value)
@@ -63,7 +67,7 @@
     auto const id = writeText(builder, value.id);
     auto const headers = writeList(builder, value.headers, encodeHeader);
     return wire::CreateCallAnswer(builder, id, value.status, headers, body, value.loadPermille, value.version,
-        value.serviceUs, value.isInnerFailure, value.departedStart);
+        value.serviceUs, value.isInnerFailure, value.departedStart, value.pacePercent);
 }
 
 flatbuffers::Offset<wire::CallRefused> encode(flatbuffers::FlatBufferBuilder& builder, call_refused const& value)
@@ -72,7 +76,8 @@
     auto const reason = static_cast<wire::Refusal>(value.reason);
     auto const crashReports = writeList(builder, value.crashReports, encodeCrashReport);
     return wire::CreateCallRefused(
-        builder, id, reason, value.retryAfterMs, value.loadPermille, value.version, value.serviceUs, crashReports);
+        builder, id, reason, value.retryAfterMs, value.loadPermille, value.version, value.serviceUs, crashReports,
+        value.pacePercent);
 }
 
 flatbuffers::Offset<wire::CallLost> encode(flatbuffers::FlatBufferBuilder& builder, call_lost const& value)
@@ -131,6 +136,9 @@
         .isLate = table.is_late(),
         .isRetry = table.is_retry(),
         .crashReports = reader.list(table.crash_reports(), decodeCrashReport),
+        .tenant = reader.text(table.tenant()),
+        .tenantPriority = table.tenant_priority() ? std::optional(*table.tenant_priority()) : std::nullopt,
+        .isBulk = table.is_bulk(),
     };
 }
 
@@ -146,6 +154,7 @@
         .serviceUs = table.service_us(),
         .isInnerFailure = table.inner_failure(),
         .departedStart = table.departed_start(),
+        .pacePercent = table.pace_percent(),
     };
 }
 
@@ -159,6 +168,7 @@
         .version = table.version(),
         .serviceUs = table.service_us(),
         .crashReports = reader.list(table.crash_reports(), decodeCrashReport),
+        .pacePercent = table.pace_percent(),
     };
 }
 
--- a/Libraries/LibWire/call_messages.h
+++ b/Libraries/LibWire/call_messages.h
@@ -29,6 +29,8 @@
     RequestLimit,
     // The request has crashed the targets that ran it.
     CrashesTargets,
+    // The tenant has used up what it may send.
+    AllotmentUsed,
 };
 
 // What a ledger can say about a call.
@@ -87,6 +89,12 @@
     bool isRetry { false };
     // What the sender knows of crashes under this request.
     std::vector<crash_report> crashReports {};
+    // The tenant that the request belongs to; empty if it belongs to none.
+    std::string tenant {};
+    // The tenant's priority, which goes before that of the route; nothing if it has none.
+    std::optional<std::uint32_t> tenantPriority {};
+    // Whether the answer is large and may come late.
+    bool isBulk { false };
 
     bool operator==(call_request const&) const = default;
 };
@@ -107,6 +115,8 @@
     bool isInnerFailure { false };
     // Start time of the target's incarnation if it has begun to leave; otherwise 0.
     std::uint64_t departedStart { 0 };
+    // How long work takes on the target's VM now, in percent of the usual time; 0 if it is not known.
+    std::uint32_t pacePercent { 0 };
 
     bool operator==(call_answer const&) const = default;
 };
@@ -122,6 +132,8 @@
     std::uint32_t serviceUs { 0 };
     // With CrashesTargets: the crashes under this request.
     std::vector<crash_report> crashReports {};
+    // As in call_answer.
+    std::uint32_t pacePercent { 0 };
 
     bool operator==(call_refused const&) const = default;
 };
--- a/Libraries/LibWire/frames_generated.h
+++ b/Libraries/LibWire/frames_generated.h
@@ -19,6 +19,15 @@
 struct CrashReport;
 struct CrashReportBuilder;
 
+struct RolloutReport;
+struct RolloutReportBuilder;
+
+struct KindEvidence;
+struct KindEvidenceBuilder;
+
+struct TenantDemand;
+struct TenantDemandBuilder;
+
 struct Header;
 struct HeaderBuilder;
 
@@ -210,11 +219,12 @@
   Shed = 10,
   RequestLimit = 11,
   CrashesTargets = 12,
+  AllotmentUsed = 13,
   MIN = Overloaded,
-  MAX = CrashesTargets
+  MAX = AllotmentUsed
 };
 
-inline const Refusal (&EnumValuesRefusal())[13] {
+inline const Refusal (&EnumValuesRefusal())[14] {
   static const Refusal values[] = {
     Refusal::Overloaded,
     Refusal::Draining,
@@ -228,13 +238,14 @@
     Refusal::TargetUnreachable,
     Refusal::Shed,
     Refusal::RequestLimit,
-    Refusal::CrashesTargets
+    Refusal::CrashesTargets,
+    Refusal::AllotmentUsed
   };
   return values;
 }
 
 inline const char * const *EnumNamesRefusal() {
-  static const char * const names[14] = {
+  static const char * const names[15] = {
     "Overloaded",
     "Draining",
     "UnknownService",
@@ -248,17 +259,54 @@
     "Shed",
     "RequestLimit",
     "CrashesTargets",
+    "AllotmentUsed",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameRefusal(Refusal e) {
-  if (flatbuffers::IsOutRange(e, Refusal::Overloaded, Refusal::CrashesTargets)) return "";
+  if (flatbuffers::IsOutRange(e, Refusal::Overloaded, Refusal::AllotmentUsed)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesRefusal()[index];
 }
 
+enum class RolloutState : uint8_t {
+  Running = 0,
+  Switching = 1,
+  Done = 2,
+  RolledBack = 3,
+  MIN = Running,
+  MAX = RolledBack
+};
+
+inline const RolloutState (&EnumValuesRolloutState())[4] {
+  static const RolloutState values[] = {
+    RolloutState::Running,
+    RolloutState::Switching,
+    RolloutState::Done,
+    RolloutState::RolledBack
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesRolloutState() {
+  static const char * const names[5] = {
+    "Running",
+    "Switching",
+    "Done",
+    "RolledBack",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameRolloutState(RolloutState e) {
+  if (flatbuffers::IsOutRange(e, RolloutState::Running, RolloutState::RolledBack)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesRolloutState()[index];
+}
+
 enum class CrashFinding : uint8_t {
   Suspected = 0,
   Tested = 1,
@@ -592,6 +640,257 @@
   return builder_.Finish();
 }
 
+struct RolloutReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ORDER = 6,
+    VT_TARGET_VERSION = 8,
+    VT_STATE = 10,
+    VT_AGE_MS = 12,
+    VT_DURATION_MS = 14
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint64_t order() const {
+    return GetField<uint64_t>(VT_ORDER, 0);
+  }
+  const flatbuffers::String *target_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET_VERSION);
+  }
+  merlinpier::wire::RolloutState state() const {
+    return static_cast<merlinpier::wire::RolloutState>(GetField<uint8_t>(VT_STATE, 0));
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  uint32_t duration_ms() const {
+    return GetField<uint32_t>(VT_DURATION_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER, 8) &&
+           VerifyOffset(verifier, VT_TARGET_VERSION) &&
+           verifier.VerifyString(target_version()) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_DURATION_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct RolloutReportBuilder {
+  typedef RolloutReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RolloutReport::VT_SERVICE, service);
+  }
+  void add_order(uint64_t order) {
+    fbb_.AddElement<uint64_t>(RolloutReport::VT_ORDER, order, 0);
+  }
+  void add_target_version(flatbuffers::Offset<flatbuffers::String> target_version) {
+    fbb_.AddOffset(RolloutReport::VT_TARGET_VERSION, target_version);
+  }
+  void add_state(merlinpier::wire::RolloutState state) {
+    fbb_.AddElement<uint8_t>(RolloutReport::VT_STATE, static_cast<uint8_t>(state), 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(RolloutReport::VT_AGE_MS, age_ms, 0);
+  }
+  void add_duration_ms(uint32_t duration_ms) {
+    fbb_.AddElement<uint32_t>(RolloutReport::VT_DURATION_MS, duration_ms, 0);
+  }
+  explicit RolloutReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutReport> CreateRolloutReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t order = 0,
+    flatbuffers::Offset<flatbuffers::String> target_version = 0,
+    merlinpier::wire::RolloutState state = merlinpier::wire::RolloutState::Running,
+    uint32_t age_ms = 0,
+    uint32_t duration_ms = 0) {
+  RolloutReportBuilder builder_(_fbb);
+  builder_.add_order(order);
+  builder_.add_duration_ms(duration_ms);
+  builder_.add_age_ms(age_ms);
+  builder_.add_target_version(target_version);
+  builder_.add_service(service);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RolloutReport> CreateRolloutReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint64_t order = 0,
+    const char *target_version = nullptr,
+    merlinpier::wire::RolloutState state = merlinpier::wire::RolloutState::Running,
+    uint32_t age_ms = 0,
+    uint32_t duration_ms = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto target_version__ = target_version ? _fbb.CreateString(target_version) : 0;
+  return merlinpier::wire::CreateRolloutReport(
+      _fbb,
+      service__,
+      order,
+      target_version__,
+      state,
+      age_ms,
+      duration_ms);
+}
+
+struct KindEvidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef KindEvidenceBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_RUNS = 6,
+    VT_FAILURES = 8,
+    VT_TOTAL_MS = 10
+  };
+  const flatbuffers::String *kind() const {
+    return GetPointer<const flatbuffers::String *>(VT_KIND);
+  }
+  uint32_t runs() const {
+    return GetField<uint32_t>(VT_RUNS, 0);
+  }
+  uint32_t failures() const {
+    return GetField<uint32_t>(VT_FAILURES, 0);
+  }
+  uint64_t total_ms() const {
+    return GetField<uint64_t>(VT_TOTAL_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KIND) &&
+           verifier.VerifyString(kind()) &&
+           VerifyField<uint32_t>(verifier, VT_RUNS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TOTAL_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct KindEvidenceBuilder {
+  typedef KindEvidence Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(flatbuffers::Offset<flatbuffers::String> kind) {
+    fbb_.AddOffset(KindEvidence::VT_KIND, kind);
+  }
+  void add_runs(uint32_t runs) {
+    fbb_.AddElement<uint32_t>(KindEvidence::VT_RUNS, runs, 0);
+  }
+  void add_failures(uint32_t failures) {
+    fbb_.AddElement<uint32_t>(KindEvidence::VT_FAILURES, failures, 0);
+  }
+  void add_total_ms(uint64_t total_ms) {
+    fbb_.AddElement<uint64_t>(KindEvidence::VT_TOTAL_MS, total_ms, 0);
+  }
+  explicit KindEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<KindEvidence> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<KindEvidence>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<KindEvidence> CreateKindEvidence(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> kind = 0,
+    uint32_t runs = 0,
+    uint32_t failures = 0,
+    uint64_t total_ms = 0) {
+  KindEvidenceBuilder builder_(_fbb);
+  builder_.add_total_ms(total_ms);
+  builder_.add_failures(failures);
+  builder_.add_runs(runs);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<KindEvidence> CreateKindEvidenceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *kind = nullptr,
+    uint32_t runs = 0,
+    uint32_t failures = 0,
+    uint64_t total_ms = 0) {
+  auto kind__ = kind ? _fbb.CreateString(kind) : 0;
+  return merlinpier::wire::CreateKindEvidence(
+      _fbb,
+      kind__,
+      runs,
+      failures,
+      total_ms);
+}
+
+struct TenantDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TenantDemandBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TENANT = 4,
+    VT_MILLI_PER_SECOND = 6
+  };
+  uint64_t tenant() const {
+    return GetField<uint64_t>(VT_TENANT, 0);
+  }
+  uint64_t milli_per_second() const {
+    return GetField<uint64_t>(VT_MILLI_PER_SECOND, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TENANT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MILLI_PER_SECOND, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct TenantDemandBuilder {
+  typedef TenantDemand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tenant(uint64_t tenant) {
+    fbb_.AddElement<uint64_t>(TenantDemand::VT_TENANT, tenant, 0);
+  }
+  void add_milli_per_second(uint64_t milli_per_second) {
+    fbb_.AddElement<uint64_t>(TenantDemand::VT_MILLI_PER_SECOND, milli_per_second, 0);
+  }
+  explicit TenantDemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TenantDemand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TenantDemand>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TenantDemand> CreateTenantDemand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t tenant = 0,
+    uint64_t milli_per_second = 0) {
+  TenantDemandBuilder builder_(_fbb);
+  builder_.add_milli_per_second(milli_per_second);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
+}
+
 struct Header FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HeaderBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -668,7 +967,9 @@
     VT_SLOTS = 14,
     VT_DEPARTED_START = 16,
     VT_STARTED_AT = 18,
-    VT_REQUEST_LIMIT = 20
+    VT_REQUEST_LIMIT = 20,
+    VT_VERSION = 22,
+    VT_EVIDENCE = 24
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -697,6 +998,12 @@
   flatbuffers::Optional<uint64_t> request_limit() const {
     return GetOptional<uint64_t, uint64_t>(VT_REQUEST_LIMIT);
   }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::KindEvidence>> *evidence() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::KindEvidence>> *>(VT_EVIDENCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -711,6 +1018,11 @@
            VerifyField<uint64_t>(verifier, VT_DEPARTED_START, 8) &&
            VerifyField<uint64_t>(verifier, VT_STARTED_AT, 8) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_LIMIT, 8) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyVector(evidence()) &&
+           verifier.VerifyVectorOfTables(evidence()) &&
            verifier.EndTable();
   }
 };
@@ -746,6 +1058,12 @@
   void add_request_limit(uint64_t request_limit) {
     fbb_.AddElement<uint64_t>(TargetRecord::VT_REQUEST_LIMIT, request_limit);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(TargetRecord::VT_VERSION, version);
+  }
+  void add_evidence(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::KindEvidence>>> evidence) {
+    fbb_.AddOffset(TargetRecord::VT_EVIDENCE, evidence);
+  }
   explicit TargetRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -767,12 +1085,16 @@
     uint32_t slots = 0,
     uint64_t departed_start = 0,
     uint64_t started_at = 0,
-    flatbuffers::Optional<uint64_t> request_limit = flatbuffers::nullopt) {
+    flatbuffers::Optional<uint64_t> request_limit = flatbuffers::nullopt,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::KindEvidence>>> evidence = 0) {
   TargetRecordBuilder builder_(_fbb);
   if(request_limit) { builder_.add_request_limit(*request_limit); }
   builder_.add_started_at(started_at);
   builder_.add_departed_start(departed_start);
   builder_.add_claim(claim);
+  builder_.add_evidence(evidence);
+  builder_.add_version(version);
   builder_.add_slots(slots);
   builder_.add_licence(licence);
   builder_.add_service(service);
@@ -791,10 +1113,14 @@
     uint32_t slots = 0,
     uint64_t departed_start = 0,
     uint64_t started_at = 0,
-    flatbuffers::Optional<uint64_t> request_limit = flatbuffers::nullopt) {
+    flatbuffers::Optional<uint64_t> request_limit = flatbuffers::nullopt,
+    const char *version = nullptr,
+    const std::vector<flatbuffers::Offset<merlinpier::wire::KindEvidence>> *evidence = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto licence__ = licence ? _fbb.CreateString(licence) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::KindEvidence>>(*evidence) : 0;
   return merlinpier::wire::CreateTargetRecord(
       _fbb,
       id__,
@@ -805,7 +1131,9 @@
       slots,
       departed_start,
       started_at,
-      request_limit);
+      request_limit,
+      version__,
+      evidence__);
 }
 
 struct MemberRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -824,7 +1152,8 @@
     VT_REFUSED_REASON = 24,
     VT_TARGETS = 26,
     VT_LINK_MBPS = 28,
-    VT_CRASH_REPORTS = 30
+    VT_CRASH_REPORTS = 30,
+    VT_ROLLOUTS = 32
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -868,6 +1197,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *crash_reports() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *>(VT_CRASH_REPORTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::RolloutReport>> *rollouts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::RolloutReport>> *>(VT_ROLLOUTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -893,6 +1225,9 @@
            VerifyOffset(verifier, VT_CRASH_REPORTS) &&
            verifier.VerifyVector(crash_reports()) &&
            verifier.VerifyVectorOfTables(crash_reports()) &&
+           VerifyOffset(verifier, VT_ROLLOUTS) &&
+           verifier.VerifyVector(rollouts()) &&
+           verifier.VerifyVectorOfTables(rollouts()) &&
            verifier.EndTable();
   }
 };
@@ -943,6 +1278,9 @@
   void add_crash_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>>> crash_reports) {
     fbb_.AddOffset(MemberRecord::VT_CRASH_REPORTS, crash_reports);
   }
+  void add_rollouts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::RolloutReport>>> rollouts) {
+    fbb_.AddOffset(MemberRecord::VT_ROLLOUTS, rollouts);
+  }
   explicit MemberRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -969,13 +1307,15 @@
     flatbuffers::Offset<flatbuffers::String> refused_reason = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::TargetRecord>>> targets = 0,
     uint32_t link_mbps = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>>> crash_reports = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>>> crash_reports = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::RolloutReport>>> rollouts = 0) {
   MemberRecordBuilder builder_(_fbb);
   builder_.add_refused_version(refused_version);
   builder_.add_applied_version(applied_version);
   builder_.add_instance(instance);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_rollouts(rollouts);
   builder_.add_crash_reports(crash_reports);
   builder_.add_link_mbps(link_mbps);
   builder_.add_targets(targets);
@@ -1003,7 +1343,8 @@
     const char *refused_reason = nullptr,
     const std::vector<flatbuffers::Offset<merlinpier::wire::TargetRecord>> *targets = nullptr,
     uint32_t link_mbps = 0,
-    const std::vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *crash_reports = nullptr) {
+    const std::vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *crash_reports = nullptr,
+    const std::vector<flatbuffers::Offset<merlinpier::wire::RolloutReport>> *rollouts = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -1011,6 +1352,7 @@
   auto refused_reason__ = refused_reason ? _fbb.CreateString(refused_reason) : 0;
   auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::TargetRecord>>(*targets) : 0;
   auto crash_reports__ = crash_reports ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::CrashReport>>(*crash_reports) : 0;
+  auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::RolloutReport>>(*rollouts) : 0;
   return merlinpier::wire::CreateMemberRecord(
       _fbb,
       vm__,
@@ -1026,7 +1368,8 @@
       refused_reason__,
       targets__,
       link_mbps,
-      crash_reports__);
+      crash_reports__,
+      rollouts__);
 }
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1310,7 +1653,8 @@
     VT_APPLIED_VERSION = 10,
     VT_HIGHEST_KNOWN_VERSION = 12,
     VT_TABLE_DIGEST = 14,
-    VT_SUBSCRIBES = 16
+    VT_SUBSCRIBES = 16,
+    VT_TENANT_DEMAND = 18
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -1333,6 +1677,9 @@
   bool subscribes() const {
     return GetField<uint8_t>(VT_SUBSCRIBES, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::TenantDemand>> *tenant_demand() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::TenantDemand>> *>(VT_TENANT_DEMAND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -1343,6 +1690,9 @@
            VerifyField<uint64_t>(verifier, VT_HIGHEST_KNOWN_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_TABLE_DIGEST, 8) &&
            VerifyField<uint8_t>(verifier, VT_SUBSCRIBES, 1) &&
+           VerifyOffset(verifier, VT_TENANT_DEMAND) &&
+           verifier.VerifyVector(tenant_demand()) &&
+           verifier.VerifyVectorOfTables(tenant_demand()) &&
            verifier.EndTable();
   }
 };
@@ -1372,6 +1722,9 @@
   void add_subscribes(bool subscribes) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_SUBSCRIBES, static_cast<uint8_t>(subscribes), 0);
   }
+  void add_tenant_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::TenantDemand>>> tenant_demand) {
+    fbb_.AddOffset(Heartbeat::VT_TENANT_DEMAND, tenant_demand);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1391,13 +1744,15 @@
     uint64_t applied_version = 0,
     uint64_t highest_known_version = 0,
     uint64_t table_digest = 0,
-    bool subscribes = false) {
+    bool subscribes = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::TenantDemand>>> tenant_demand = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_table_digest(table_digest);
   builder_.add_highest_known_version(highest_known_version);
   builder_.add_applied_version(applied_version);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_tenant_demand(tenant_demand);
   builder_.add_vm(vm);
   builder_.add_subscribes(subscribes);
   return builder_.Finish();
@@ -1411,8 +1766,10 @@
     uint64_t applied_version = 0,
     uint64_t highest_known_version = 0,
     uint64_t table_digest = 0,
-    bool subscribes = false) {
+    bool subscribes = false,
+    const std::vector<flatbuffers::Offset<merlinpier::wire::TenantDemand>> *tenant_demand = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
+  auto tenant_demand__ = tenant_demand ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::TenantDemand>>(*tenant_demand) : 0;
   return merlinpier::wire::CreateHeartbeat(
       _fbb,
       vm__,
@@ -1421,7 +1778,8 @@
       applied_version,
       highest_known_version,
       table_digest,
-      subscribes);
+      subscribes,
+      tenant_demand__);
 }
 
 struct HeartbeatAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1431,7 +1789,8 @@
     VT_HIGHEST_KNOWN_VERSION = 6,
     VT_TABLE_DIGEST = 8,
     VT_IS_RELAY = 10,
-    VT_RETRY_AFTER_MS = 12
+    VT_RETRY_AFTER_MS = 12,
+    VT_TENANT_DEMAND = 14
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -1448,6 +1807,9 @@
   uint32_t retry_after_ms() const {
     return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::TenantDemand>> *tenant_demand() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::TenantDemand>> *>(VT_TENANT_DEMAND);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -1456,6 +1818,9 @@
            VerifyField<uint64_t>(verifier, VT_TABLE_DIGEST, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_RELAY, 1) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyOffset(verifier, VT_TENANT_DEMAND) &&
+           verifier.VerifyVector(tenant_demand()) &&
+           verifier.VerifyVectorOfTables(tenant_demand()) &&
            verifier.EndTable();
   }
 };
@@ -1479,6 +1844,9 @@
   void add_retry_after_ms(uint32_t retry_after_ms) {
     fbb_.AddElement<uint32_t>(HeartbeatAnswer::VT_RETRY_AFTER_MS, retry_after_ms, 0);
   }
+  void add_tenant_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::TenantDemand>>> tenant_demand) {
+    fbb_.AddOffset(HeartbeatAnswer::VT_TENANT_DEMAND, tenant_demand);
+  }
   explicit HeartbeatAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1496,10 +1864,12 @@
     uint64_t highest_known_version = 0,
     uint64_t table_digest = 0,
     bool is_relay = false,
-    uint32_t retry_after_ms = 0) {
+    uint32_t retry_after_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::TenantDemand>>> tenant_demand = 0) {
   HeartbeatAnswerBuilder builder_(_fbb);
   builder_.add_table_digest(table_digest);
   builder_.add_highest_known_version(highest_known_version);
+  builder_.add_tenant_demand(tenant_demand);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_vm(vm);
   builder_.add_is_relay(is_relay);
@@ -1512,15 +1882,18 @@
     uint64_t highest_known_version = 0,
     uint64_t table_digest = 0,
     bool is_relay = false,
-    uint32_t retry_after_ms = 0) {
+    uint32_t retry_after_ms = 0,
+    const std::vector<flatbuffers::Offset<merlinpier::wire::TenantDemand>> *tenant_demand = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
+  auto tenant_demand__ = tenant_demand ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::TenantDemand>>(*tenant_demand) : 0;
   return merlinpier::wire::CreateHeartbeatAnswer(
       _fbb,
       vm__,
       highest_known_version,
       table_digest,
       is_relay,
-      retry_after_ms);
+      retry_after_ms,
+      tenant_demand__);
 }
 
 struct MembershipUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1934,7 +2307,10 @@
     VT_OBJECTIVE_MS = 40,
     VT_IS_LATE = 42,
     VT_IS_RETRY = 44,
-    VT_CRASH_REPORTS = 46
+    VT_CRASH_REPORTS = 46,
+    VT_TENANT = 48,
+    VT_TENANT_PRIORITY = 50,
+    VT_IS_BULK = 52
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2002,6 +2378,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *crash_reports() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *>(VT_CRASH_REPORTS);
   }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  flatbuffers::Optional<uint32_t> tenant_priority() const {
+    return GetOptional<uint32_t, uint32_t>(VT_TENANT_PRIORITY);
+  }
+  bool is_bulk() const {
+    return GetField<uint8_t>(VT_IS_BULK, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2038,6 +2423,10 @@
            VerifyOffset(verifier, VT_CRASH_REPORTS) &&
            verifier.VerifyVector(crash_reports()) &&
            verifier.VerifyVectorOfTables(crash_reports()) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint32_t>(verifier, VT_TENANT_PRIORITY, 4) &&
+           VerifyField<uint8_t>(verifier, VT_IS_BULK, 1) &&
            verifier.EndTable();
   }
 };
@@ -2112,6 +2501,15 @@
   void add_crash_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>>> crash_reports) {
     fbb_.AddOffset(Call::VT_CRASH_REPORTS, crash_reports);
   }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(Call::VT_TENANT, tenant);
+  }
+  void add_tenant_priority(uint32_t tenant_priority) {
+    fbb_.AddElement<uint32_t>(Call::VT_TENANT_PRIORITY, tenant_priority);
+  }
+  void add_is_bulk(bool is_bulk) {
+    fbb_.AddElement<uint8_t>(Call::VT_IS_BULK, static_cast<uint8_t>(is_bulk), 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2146,11 +2544,16 @@
     uint32_t objective_ms = 0,
     bool is_late = false,
     bool is_retry = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>>> crash_reports = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>>> crash_reports = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    flatbuffers::Optional<uint32_t> tenant_priority = flatbuffers::nullopt,
+    bool is_bulk = false) {
   CallBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_generation(generation);
   builder_.add_instance(instance);
+  if(tenant_priority) { builder_.add_tenant_priority(*tenant_priority); }
+  builder_.add_tenant(tenant);
   builder_.add_crash_reports(crash_reports);
   builder_.add_objective_ms(objective_ms);
   builder_.add_priority(priority);
@@ -2165,6 +2568,7 @@
   builder_.add_target(target);
   builder_.add_service(service);
   builder_.add_id(id);
+  builder_.add_is_bulk(is_bulk);
   builder_.add_is_retry(is_retry);
   builder_.add_is_late(is_late);
   builder_.add_only_if_free(only_if_free);
@@ -2196,7 +2600,10 @@
     uint32_t objective_ms = 0,
     bool is_late = false,
     bool is_retry = false,
-    const std::vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *crash_reports = nullptr) {
+    const std::vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *crash_reports = nullptr,
+    const char *tenant = nullptr,
+    flatbuffers::Optional<uint32_t> tenant_priority = flatbuffers::nullopt,
+    bool is_bulk = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -2207,6 +2614,7 @@
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto caller__ = caller ? _fbb.CreateString(caller) : 0;
   auto crash_reports__ = crash_reports ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::CrashReport>>(*crash_reports) : 0;
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   return merlinpier::wire::CreateCall(
       _fbb,
       id__,
@@ -2230,7 +2638,10 @@
       objective_ms,
       is_late,
       is_retry,
-      crash_reports__);
+      crash_reports__,
+      tenant__,
+      tenant_priority,
+      is_bulk);
 }
 
 struct CallAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2244,7 +2655,8 @@
     VT_VERSION = 14,
     VT_SERVICE_US = 16,
     VT_INNER_FAILURE = 18,
-    VT_DEPARTED_START = 20
+    VT_DEPARTED_START = 20,
+    VT_PACE_PERCENT = 22
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2273,6 +2685,9 @@
   uint64_t departed_start() const {
     return GetField<uint64_t>(VT_DEPARTED_START, 0);
   }
+  uint32_t pace_percent() const {
+    return GetField<uint32_t>(VT_PACE_PERCENT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2288,6 +2703,7 @@
            VerifyField<uint32_t>(verifier, VT_SERVICE_US, 4) &&
            VerifyField<uint8_t>(verifier, VT_INNER_FAILURE, 1) &&
            VerifyField<uint64_t>(verifier, VT_DEPARTED_START, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PACE_PERCENT, 4) &&
            verifier.EndTable();
   }
 };
@@ -2323,6 +2739,9 @@
   void add_departed_start(uint64_t departed_start) {
     fbb_.AddElement<uint64_t>(CallAnswer::VT_DEPARTED_START, departed_start, 0);
   }
+  void add_pace_percent(uint32_t pace_percent) {
+    fbb_.AddElement<uint32_t>(CallAnswer::VT_PACE_PERCENT, pace_percent, 0);
+  }
   explicit CallAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2344,10 +2763,12 @@
     uint64_t version = 0,
     uint32_t service_us = 0,
     bool inner_failure = false,
-    uint64_t departed_start = 0) {
+    uint64_t departed_start = 0,
+    uint32_t pace_percent = 0) {
   CallAnswerBuilder builder_(_fbb);
   builder_.add_departed_start(departed_start);
   builder_.add_version(version);
+  builder_.add_pace_percent(pace_percent);
   builder_.add_service_us(service_us);
   builder_.add_load_permille(load_permille);
   builder_.add_body(body);
@@ -2368,7 +2789,8 @@
     uint64_t version = 0,
     uint32_t service_us = 0,
     bool inner_failure = false,
-    uint64_t departed_start = 0) {
+    uint64_t departed_start = 0,
+    uint32_t pace_percent = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -2382,7 +2804,8 @@
       version,
       service_us,
       inner_failure,
-      departed_start);
+      departed_start,
+      pace_percent);
 }
 
 struct CallRefused FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2394,7 +2817,8 @@
     VT_LOAD_PERMILLE = 10,
     VT_VERSION = 12,
     VT_SERVICE_US = 14,
-    VT_CRASH_REPORTS = 16
+    VT_CRASH_REPORTS = 16,
+    VT_PACE_PERCENT = 18
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -2417,6 +2841,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *crash_reports() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *>(VT_CRASH_REPORTS);
   }
+  uint32_t pace_percent() const {
+    return GetField<uint32_t>(VT_PACE_PERCENT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -2429,6 +2856,7 @@
            VerifyOffset(verifier, VT_CRASH_REPORTS) &&
            verifier.VerifyVector(crash_reports()) &&
            verifier.VerifyVectorOfTables(crash_reports()) &&
+           VerifyField<uint32_t>(verifier, VT_PACE_PERCENT, 4) &&
            verifier.EndTable();
   }
 };
@@ -2458,6 +2886,9 @@
   void add_crash_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>>> crash_reports) {
     fbb_.AddOffset(CallRefused::VT_CRASH_REPORTS, crash_reports);
   }
+  void add_pace_percent(uint32_t pace_percent) {
+    fbb_.AddElement<uint32_t>(CallRefused::VT_PACE_PERCENT, pace_percent, 0);
+  }
   explicit CallRefusedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2477,9 +2908,11 @@
     uint32_t load_permille = 0,
     uint64_t version = 0,
     uint32_t service_us = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>>> crash_reports = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<merlinpier::wire::CrashReport>>> crash_reports = 0,
+    uint32_t pace_percent = 0) {
   CallRefusedBuilder builder_(_fbb);
   builder_.add_version(version);
+  builder_.add_pace_percent(pace_percent);
   builder_.add_crash_reports(crash_reports);
   builder_.add_service_us(service_us);
   builder_.add_load_permille(load_permille);
@@ -2497,7 +2930,8 @@
     uint32_t load_permille = 0,
     uint64_t version = 0,
     uint32_t service_us = 0,
-    const std::vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *crash_reports = nullptr) {
+    const std::vector<flatbuffers::Offset<merlinpier::wire::CrashReport>> *crash_reports = nullptr,
+    uint32_t pace_percent = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto crash_reports__ = crash_reports ? _fbb.CreateVector<flatbuffers::Offset<merlinpier::wire::CrashReport>>(*crash_reports) : 0;
   return merlinpier::wire::CreateCallRefused(
@@ -2508,7 +2942,8 @@
       load_permille,
       version,
       service_us,
-      crash_reports__);
+      crash_reports__,
+      pace_percent);
 }
 
 struct CallLost FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibWire/membership_codec.cpp
+++ b/Libraries/LibWire/membership_codec.cpp
@@ -6,6 +6,51 @@
 
 namespace {
 
+flatbuffers::Offset<wire::KindEvidence> encodeEvidence(
+    flatbuffers::FlatBufferBuilder& builder, kind_evidence const& value)
+{
+    return wire::CreateKindEvidence(
+        builder, writeText(builder, value.kind), value.runs, value.failures, value.totalMs);
+}
+
+flatbuffers::Offset<wire::RolloutReport> encodeRollout(
+    flatbuffers::FlatBufferBuilder& builder, rollout_report const& value)
+{
+    auto const service = writeText(builder, value.service);
+    auto const targetVersion = writeText(builder, value.targetVersion);
+    return wire::CreateRolloutReport(builder, service, value.order, targetVersion,
+        static_cast<wire::RolloutState>(value.state), value.ageMs, value.durationMs);
+}
+
+flatbuffers::Offset<wire::TenantDemand> encodeDemand(
+    flatbuffers::FlatBufferBuilder& builder, tenant_demand const& value)
+{
+    return wire::CreateTenantDemand(builder, value.tenant, value.milliPerSecond);
+}
+
+kind_evidence decodeEvidence(wire_reader& reader, wire::KindEvidence const& table)
+{
+    return { .kind = reader.text(table.kind()),
+        .runs = table.runs(),
+        .failures = table.failures(),
+        .totalMs = table.total_ms() };
+}
+
+rollout_report decodeRollout(wire_reader& reader, wire::RolloutReport const& table)
+{
+    return { .service = reader.text(table.service()),
+        .order = table.order(),
+        .targetVersion = reader.text(table.target_version()),
+        .state = reader.enumerator<rollout_state>(table.state()),
+        .ageMs = table.age_ms(),
+        .durationMs = table.duration_ms() };
+}
+
+tenant_demand decodeDemand(wire_reader&, wire::TenantDemand const& table)
+{
+    return { .tenant = table.tenant(), .milliPerSecond = table.milli_per_second() };
+}
+
 flatbuffers::Offset<wire::TargetRecord> encodeTarget(
     flatbuffers::FlatBufferBuilder& builder, target_record const& value)
 {
@@ -15,8 +60,10 @@
     auto const state = static_cast<wire::TargetState>(value.state);
     auto const limit = value.requestLimitMilli ? flatbuffers::Optional<std::uint64_t>(*value.requestLimitMilli)
                                                : flatbuffers::Optional<std::uint64_t>();
-    return wire::CreateTargetRecord(
-        builder, id, service, licence, value.claim, state, value.slots, value.departedStart, value.startedAt, limit);
+    auto const version = writeText(builder, value.version);
+    auto const evidence = writeList(builder, value.evidence, encodeEvidence);
+    return wire::CreateTargetRecord(builder, id, service, licence, value.claim, state, value.slots,
+        value.departedStart, value.startedAt, limit, version, evidence);
 }
 
 flatbuffers::Offset<wire::MemberRecord> encodeRecord(
@@ -30,9 +77,10 @@
     auto const targets = writeList(builder, value.targets, encodeTarget);
     auto const state = static_cast<wire::MemberState>(value.state);
     auto const crashReports = writeList(builder, value.crashReports, encodeCrashReport);
+    auto const rollouts = writeList(builder, value.rollouts, encodeRollout);
     return wire::CreateMemberRecord(builder, vm, zone, address, httpAddress, value.incarnation, value.sequence,
         value.instance, state, value.appliedVersion, value.refusedVersion, refusedReason, targets, value.linkMbps,
-        crashReports);
+        crashReports, rollouts);
 }
 
 std::optional<std::uint64_t> optionalNumber(flatbuffers::Optional<std::uint64_t> const& value)
@@ -52,6 +100,8 @@
         .departedStart = table.departed_start(),
         .startedAt = table.started_at(),
         .requestLimitMilli = optionalNumber(table.request_limit()),
+        .version = reader.text(table.version()),
+        .evidence = reader.list(table.evidence(), decodeEvidence),
     };
 }
 
@@ -72,6 +122,7 @@
         .targets = reader.list(table.targets(), decodeTarget),
         .linkMbps = table.link_mbps(),
         .crashReports = reader.list(table.crash_reports(), decodeCrashReport),
+        .rollouts = reader.list(table.rollouts(), decodeRollout),
     };
 }
 
@@ -80,16 +131,18 @@
 flatbuffers::Offset<wire::Heartbeat> encode(flatbuffers::FlatBufferBuilder& builder, heartbeat const& value)
 {
     auto const vm = writeText(builder, value.vm);
+    auto const demand = writeList(builder, value.tenantDemand, encodeDemand);
     return wire::CreateHeartbeat(builder, vm, value.incarnation, value.sequence, value.appliedVersion,
-        value.highestKnownVersion, value.tableDigest, value.subscribes);
+        value.highestKnownVersion, value.tableDigest, value.subscribes, demand);
 }
 
 flatbuffers::Offset<wire::HeartbeatAnswer> encode(
     flatbuffers::FlatBufferBuilder& builder, heartbeat_answer const& value)
 {
     auto const vm = writeText(builder, value.vm);
+    auto const demand = writeList(builder, value.tenantDemand, encodeDemand);
     return wire::CreateHeartbeatAnswer(
-        builder, vm, value.highestKnownVersion, value.tableDigest, value.isRelay, value.retryAfterMs);
+        builder, vm, value.highestKnownVersion, value.tableDigest, value.isRelay, value.retryAfterMs, demand);
 }
 
 flatbuffers::Offset<wire::MembershipUpdate> encode(
@@ -114,6 +167,7 @@
         .highestKnownVersion = table.highest_known_version(),
         .tableDigest = table.table_digest(),
         .subscribes = table.subscribes(),
+        .tenantDemand = reader.list(table.tenant_demand(), decodeDemand),
     };
 }
 
@@ -125,6 +179,7 @@
         .tableDigest = table.table_digest(),
         .isRelay = table.is_relay(),
         .retryAfterMs = table.retry_after_ms(),
+        .tenantDemand = reader.list(table.tenant_demand(), decodeDemand),
     };
 }
 
--- a/Libraries/LibWire/membership_messages.h
+++ b/Libraries/LibWire/membership_messages.h
@@ -17,6 +17,44 @@
 // Limits on requests are sent in thousandths of a request a second.
 inline constexpr double milliPerRequest = 1000;
 
+// How far a rollout has come. It only rises: Running targets of the new version get a small share of the requests;
+// Switching ones get all of them while those of the old version end their work; Done and RolledBack are final.
+enum class rollout_state : std::uint8_t { Running, Switching, Done, RolledBack };
+
+// A rollout as the publishing daemon knows it.
+struct rollout_report {
+    std::string service;
+    // The revision of the order in the platform's store. A higher one replaces a lower one.
+    std::uint64_t order { 0 };
+    std::string targetVersion;
+    rollout_state state { rollout_state::Running };
+    // Time since the order when the report was published, and from the order to its deadline.
+    std::uint32_t ageMs { 0 };
+    std::uint32_t durationMs { 0 };
+
+    bool operator==(rollout_report const&) const = default;
+};
+
+// What runs of one kind of call have shown since the target's start. Counts only rise.
+struct kind_evidence {
+    std::string kind;
+    std::uint32_t runs { 0 };
+    std::uint32_t failures { 0 };
+    // Sum of the runs' durations.
+    std::uint64_t totalMs { 0 };
+
+    bool operator==(kind_evidence const&) const = default;
+};
+
+// How many requests a second of a tenant a sender has lately been offered, in thousandths.
+struct tenant_demand {
+    // Hash of the tenant's name.
+    std::uint64_t tenant { 0 };
+    std::uint64_t milliPerSecond { 0 };
+
+    bool operator==(tenant_demand const&) const = default;
+};
+
 // The state of one target, written only by the daemon of the target's VM.
 struct target_record {
     // Unique in the fleet.
@@ -35,6 +73,10 @@
     // The limit on requests that the target has announced, in thousandths of a request a second, for all callers
     // together; nothing if it has none. Rounded, so that small changes are not published.
     std::optional<std::uint64_t> requestLimitMilli;
+    // Version of the target's software; empty if it is not known.
+    std::string version {};
+    // What the target's runs have shown, while a rollout of its service is under way.
+    std::vector<kind_evidence> evidence {};
 
     bool operator==(target_record const&) const = default;
 
@@ -74,6 +116,8 @@
     std::uint32_t linkMbps { 0 };
     // The requests that may have crashed targets of this VM, and those that runs here have cleared.
     std::vector<crash_report> crashReports {};
+    // The rollouts that this daemon knows of.
+    std::vector<rollout_report> rollouts {};
 
     bool operator==(member_record const&) const = default;
 };
@@ -88,6 +132,8 @@
     std::uint64_t tableDigest { 0 };
     // Asks the receiver to act as relay for the sender whatever its own view says.
     bool subscribes { false };
+    // What the sender's VM, or as a relay its zone, has lately been offered by tenants.
+    std::vector<tenant_demand> tenantDemand {};
 
     bool operator==(heartbeat const&) const = default;
 };
@@ -100,6 +146,8 @@
     bool isRelay { false };
     // Above zero when the relay has as many subscribers as it takes: come back after this time.
     std::uint32_t retryAfterMs { 0 };
+    // What all VMs together have lately been offered by the tenants that the heartbeat names.
+    std::vector<tenant_demand> tenantDemand {};
 
     bool operator==(heartbeat_answer const&) const = default;
 };
--- a/Services/Daemon/caller_answer.cpp
+++ b/Services/Daemon/caller_answer.cpp
@@ -46,6 +46,8 @@
     case refusal_reason::CrashesTargets:
         return { 503, "crashes_targets",
             "do not repeat the request: targets crash when they run it; the block ends after the time in Retry-After" };
+    case refusal_reason::AllotmentUsed:
+        return { 429, "allotment_used", "come back after the time in Retry-After, or raise the tenant's allotment" };
     }
     return { 503, "refused", "send the request again" };
 }
--- a/Tests/LibWire/arbitrary_messages.h
+++ b/Tests/LibWire/arbitrary_messages.h
@@ -32,6 +32,23 @@
 
 inline header_field drawHeader() { return { .name = drawText(), .value = drawText() }; }
 
+inline kind_evidence drawEvidence()
+{
+    return { .kind = drawText(), .runs = drawCount(), .failures = drawCount(), .totalMs = drawNumber() };
+}
+
+inline rollout_report drawRollout()
+{
+    return { .service = drawText(),
+        .order = drawNumber(),
+        .targetVersion = drawText(),
+        .state = drawEnumerator(rollout_state::RolledBack),
+        .ageMs = drawCount(),
+        .durationMs = drawCount() };
+}
+
+inline tenant_demand drawDemand() { return { .tenant = drawNumber(), .milliPerSecond = drawNumber() }; }
+
 inline call_answer drawAnswer()
 {
     return { .id = drawText(),
@@ -42,18 +59,20 @@
         .version = drawNumber(),
         .serviceUs = drawCount(),
         .isInnerFailure = drawBelow(2) == 1,
-        .departedStart = drawNumber() };
+        .departedStart = drawNumber(),
+        .pacePercent = drawCount() };
 }
 
 inline call_refused drawRefusal()
 {
     return { .id = drawText(),
-        .reason = drawEnumerator(refusal_reason::CrashesTargets),
+        .reason = drawEnumerator(refusal_reason::AllotmentUsed),
         .retryAfterMs = drawCount(),
         .loadPermille = drawCount(),
         .version = drawNumber(),
         .serviceUs = drawCount(),
-        .crashReports = drawList(drawCrashReport) };
+        .crashReports = drawList(drawCrashReport),
+        .pacePercent = drawCount() };
 }
 
 inline call_request drawRequest()
@@ -79,7 +98,10 @@
         .onlyIfFree = drawBelow(2) == 1,
         .isLate = drawBelow(2) == 1,
         .isRetry = drawBelow(2) == 1,
-        .crashReports = drawList(drawCrashReport) };
+        .crashReports = drawList(drawCrashReport),
+        .tenant = drawText(),
+        .tenantPriority = drawBelow(2) == 1 ? std::optional(drawCount()) : std::nullopt,
+        .isBulk = drawBelow(2) == 1 };
 }
 
 inline call_status drawStatus()
@@ -102,7 +124,9 @@
         .slots = drawCount(),
         .departedStart = drawNumber(),
         .startedAt = drawNumber(),
-        .requestLimitMilli = drawNumber() % 2 == 0 ? std::nullopt : std::optional(drawNumber()) };
+        .requestLimitMilli = drawNumber() % 2 == 0 ? std::nullopt : std::optional(drawNumber()),
+        .version = drawText(),
+        .evidence = drawList(drawEvidence) };
 }
 
 inline member_record drawRecord()
@@ -120,7 +144,8 @@
         .refusedReason = drawText(),
         .targets = drawList(drawTarget),
         .linkMbps = drawCount(),
-        .crashReports = drawList(drawCrashReport) };
+        .crashReports = drawList(drawCrashReport),
+        .rollouts = drawList(drawRollout) };
 }
 
 inline heartbeat drawHeartbeat()
@@ -131,7 +156,8 @@
         .appliedVersion = drawNumber(),
         .highestKnownVersion = drawNumber(),
         .tableDigest = drawNumber(),
-        .subscribes = drawBelow(2) == 1 };
+        .subscribes = drawBelow(2) == 1,
+        .tenantDemand = drawList(drawDemand) };
 }
 
 inline wire_fragment drawFragment() { return { .service = drawText(), .digest = drawText(), .content = drawText() }; }
@@ -152,7 +178,8 @@
     case 4:
         return drawHeartbeat();
     case 5:
-        return heartbeat_answer { drawText(), drawNumber(), drawNumber(), drawBelow(2) == 1, drawCount() };
+        return heartbeat_answer { drawText(), drawNumber(), drawNumber(), drawBelow(2) == 1, drawCount(),
+            drawList(drawDemand) };
     case 6:
         return membership_update { drawList(drawRecord) };
     case 7:
