--- a/Libraries/LibWire/call_codec.cpp
+++ b/Libraries/LibWire/call_codec.cpp
@@ -75,9 +75,8 @@
     auto const id = writeText(builder, value.id);
     auto const reason = static_cast<wire::Refusal>(value.reason);
     auto const crashReports = writeList(builder, value.crashReports, encodeCrashReport);
-    return wire::CreateCallRefused(
-        builder, id, reason, value.retryAfterMs, value.loadPermille, value.version, value.serviceUs, crashReports,
-        value.pacePercent);
+    return wire::CreateCallRefused(builder, id, reason, value.retryAfterMs, value.loadPermille, value.version,
+        value.serviceUs, crashReports, value.pacePercent);
 }
 
 flatbuffers::Offset<wire::CallLost> encode(flatbuffers::FlatBufferBuilder& builder, call_lost const& value)
--- a/Libraries/LibWire/membership_codec.cpp
+++ b/Libraries/LibWire/membership_codec.cpp
@@ -9,8 +9,7 @@
 flatbuffers::Offset<wire::KindEvidence> encodeEvidence(
     flatbuffers::FlatBufferBuilder& builder, kind_evidence const& value)
 {
-    return wire::CreateKindEvidence(
-        builder, writeText(builder, value.kind), value.runs, value.failures, value.totalMs);
+    return wire::CreateKindEvidence(builder, writeText(builder, value.kind), value.runs, value.failures, value.totalMs);
 }
 
 flatbuffers::Offset<wire::RolloutReport> encodeRollout(
@@ -62,8 +61,8 @@
                                                : flatbuffers::Optional<std::uint64_t>();
     auto const version = writeText(builder, value.version);
     auto const evidence = writeList(builder, value.evidence, encodeEvidence);
-    return wire::CreateTargetRecord(builder, id, service, licence, value.claim, state, value.slots,
-        value.departedStart, value.startedAt, limit, version, evidence);
+    return wire::CreateTargetRecord(builder, id, service, licence, value.claim, state, value.slots, value.departedStart,
+        value.startedAt, limit, version, evidence);
 }
 
 flatbuffers::Offset<wire::MemberRecord> encodeRecord(
