LibTenants: Identify the tenant of a request by its key

Requests of clients had no owner, and a key reached the target. The target gets the tenant's name. Calls of the VM's own target, and routes that need none, run without a key. A deployment without tenants is served as before.

--- a/Libraries/LibConfiguration/configuration_set.cpp
+++ b/Libraries/LibConfiguration/configuration_set.cpp
@@ -4,6 +4,7 @@
 #include <LibConfiguration/set_rules.h>
 #include <LibCore/digest.h>
 #include <LibCore/json_object_reader.h>
+#include <LibTenants/tenant_fragment.h>
 
 #include <algorithm>
 #include <limits>
@@ -114,6 +115,11 @@
         }
         if (entry.service == meshSettingsFragment) {
             meshSettings = TRY(parseMeshSettings(*found->second));
+        } else if (entry.service == tenantsFragment) {
+            bool const isReusable = previous && previous->m_tenantsDigest == entry.digest;
+            set->m_tenants = isReusable ? previous->m_tenants
+                                        : std::make_shared<tenant_directory const>(TRY(parseTenants(*found->second)));
+            set->m_tenantsDigest = entry.digest;
         } else if (entry.service.starts_with(routesFragmentPrefix)) {
             auto const known = previous ? previous->m_routesByDigest.find(entry.digest) : set->m_routesByDigest.end();
             bool const isReusable = previous && known != previous->m_routesByDigest.end();
--- a/Libraries/LibConfiguration/configuration_set.h
+++ b/Libraries/LibConfiguration/configuration_set.h
@@ -3,6 +3,7 @@
 #include <LibConfiguration/route_table.h>
 #include <LibConfiguration/service_configuration.h>
 #include <LibCore/result.h>
+#include <LibTenants/tenant_directory.h>
 #include <LibWire/configuration_messages.h>
 #include <cstdint>
 #include <map>
@@ -66,6 +67,8 @@
     // Routes by host and path; empty if only questionnaires describe how services are called.
     route_table const& routes() const { return m_routes; }
     client_limits const& limits() const { return m_limits; }
+    // Empty if the deployment has no tenants.
+    tenant_directory const& tenants() const { return *m_tenants; }
     // Whether a copy with the licence may serve the service: the questionnaire lists the licence, or the platform
     // places the service's copies, which are licensed by the VM that they run on.
     bool isLicensed(std::string const& service, std::string const& licence) const;
@@ -83,6 +86,9 @@
     std::set<std::string> m_placedServices;
     route_table m_routes;
     client_limits m_limits;
+    std::shared_ptr<tenant_directory const> m_tenants { std::make_shared<tenant_directory const>() };
+    // Digest of the fragment that m_tenants was read from.
+    std::string m_tenantsDigest;
     // Contents of the fragments, by digest.
     std::map<std::string, std::string> m_contentsByDigest;
     // Parsed routes of the route fragments, by digest.
--- a/Libraries/LibRouting/routing_snapshot.h
+++ b/Libraries/LibRouting/routing_snapshot.h
@@ -64,6 +64,8 @@
     route_table const& routes() const { return m_configuration->routes(); }
     // The limits on requests of clients.
     client_limits const& limits() const { return m_configuration->limits(); }
+    // The tenants; empty if the deployment has none.
+    tenant_directory const& tenants() const { return m_configuration->tenants(); }
     // Checks that every route refers to a service of the configuration and to a routable target of the membership; the
     // error names the first that does not.
     result<empty> verify(configuration_set const&, membership_table const&) const;
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -50,6 +50,10 @@
     return answer;
 }
 
+// A target may go on for this long with a run that this daemon no longer counts: one that was given up, or that an
+// earlier process of the daemon started. Longer than the time limits of nearly all calls.
+constexpr milliseconds workAfterEnd { 3000 };
+
 } // namespace
 
 target_gateway::target_gateway(call_server_settings settings, milliseconds lease,
@@ -153,6 +157,8 @@
 
 void target_gateway::tick()
 {
+    if (m_server.running() > 0)
+        m_lastAtWork = currentTime();
     m_targets.tick(currentTime());
     carryOut(m_server.tick(currentTime()));
     reportChange();
@@ -160,6 +166,11 @@
 
 std::size_t target_gateway::unsettled() const { return m_server.unsettled(); }
 
+bool target_gateway::mayBeAtWork() const
+{
+    return m_server.running() > 0 || currentTime() - m_lastAtWork < workAfterEnd;
+}
+
 std::map<std::string, target_load> target_gateway::loads() const { return m_server.loads(currentTime()); }
 
 void target_gateway::carryOut(std::vector<server_action> actions)
--- a/Services/Daemon/target_gateway.h
+++ b/Services/Daemon/target_gateway.h
@@ -44,6 +44,9 @@
 
     std::size_t unsettled() const;
     std::size_t running() const { return m_server.running(); }
+    // Whether a target of this VM may be at work on something that it makes calls for: a run that is under way, one
+    // that ended a moment ago, or one that an earlier process of this daemon began.
+    bool mayBeAtWork() const;
     void didFailInnerCall() { m_server.didFailInnerCall(currentTime()); }
     double retriedShare() const { return m_server.retriedShare(); }
     std::map<std::string, target_load> loads() const;
@@ -77,6 +80,8 @@
     std::shared_ptr<configuration_set const> m_configuration;
     std::map<std::string, running_exchange> m_exchanges;
     std::set<std::string> m_checkedTargets;
+    // When a call was last seen running, or this daemon began.
+    time_point m_lastAtWork { currentTime() };
     std::vector<target_record> m_lastRecords;
     // Shared with the callbacks of exchanges, which do nothing once the gateway is gone.
     std::shared_ptr<bool> m_isAlive;
--- a/Tests/platform/worker_dialect_test.cpp
+++ b/Tests/platform/worker_dialect_test.cpp
@@ -58,6 +58,25 @@
     EXPECT_EQ(worker_dialect().requestFor(makeRun(false)).reuse, connection_reuse::Forbidden);
 }
 
+// Guards against a target that gets the name of a tenant from anybody but the daemon that knows the key.
+TEST(WorkerDialect, NamesTheTenantOfTheCall)
+{
+    auto run = makeRun();
+    run.call.headers.push_back({ "tenant", "forged" });
+    run.call.tenant = "hule930";
+    std::vector<std::string> names;
+    for (auto const& header : worker_dialect().requestFor(run).headers) {
+        if (header.name == "Tenant" || header.name == "tenant")
+            names.push_back(header.value);
+    }
+    EXPECT_EQ(names, (std::vector<std::string> { "hule930" }));
+    EXPECT_FALSE([&] {
+        auto const request = worker_dialect().requestFor(makeRun());
+        return std::any_of(
+            request.headers.begin(), request.headers.end(), [](auto const& header) { return header.name == "Tenant"; });
+    }()) << "a call of no tenant has no such header";
+}
+
 TEST(WorkerDialect, TellsWhetherTheCallRan)
 {
     worker_dialect const dialect;
