LibRouting, LibCalls: Use the pace that targets announce

Work takes 2.5 times as long on some VMs for fractions of a second, which service times learnt over many calls show too late. The fourth figure of Server-Load (Merlinpier-Load) is read from each answer, kept with its age (half-life 300 ms) and applied to expected waits and service times at admission and in the choice of targets; service times are learnt at the usual pace. Probes are refused above a pace of 150. Without the figure, nothing changes.

--- a/Libraries/LibCalls/admission_queue.cpp
+++ b/Libraries/LibCalls/admission_queue.cpp
@@ -26,6 +26,7 @@
 std::vector<admission_decision> admission_queue::offer(admission_request const& request, time_point now)
 {
     using kind = admission_decision::kind;
+    m_lastEventAt = now;
     std::vector<admission_decision> decisions;
     auto const ahead = callsAheadOf(request, now);
     if (m_limits.isUnlimited || (ahead == 0 && hasSlotFor(request.callClass) && m_limiter.maySend(now))) {
@@ -62,12 +63,14 @@
 
 std::vector<admission_decision> admission_queue::release(std::string const& id, learning mode, time_point now)
 {
+    m_lastEventAt = now;
     std::vector<admission_decision> decisions;
     auto const found = m_running.find(id);
     if (found == m_running.end())
         return decisions;
     if (mode == learning::Learn)
-        m_serviceTimes.addSample(found->second.kind, now - found->second.since);
+        m_serviceTimes.addSample(
+            found->second.kind, usualTime(now - found->second.since, found->second.pacePercent, m_pace.percentAt(now)));
     m_running.erase(found);
     startWaiting(now, decisions);
     return decisions;
@@ -91,6 +94,7 @@
 
 std::vector<admission_decision> admission_queue::tick(time_point now)
 {
+    m_lastEventAt = now;
     std::vector<admission_decision> decisions;
     startWaiting(now, decisions);
     return decisions;
@@ -145,7 +149,7 @@
     duration sum { 0 };
     for (auto const& [id, call] : m_running)
         sum += m_serviceTimes.meanOf(call.kind);
-    return m_running.empty() ? sum : sum / static_cast<std::int64_t>(m_running.size());
+    return m_running.empty() ? sum : m_pace.timeFor(sum / static_cast<std::int64_t>(m_running.size()), m_lastEventAt);
 }
 
 duration admission_queue::serviceTime(std::string const& kind, call_class callClass) const
@@ -155,7 +159,7 @@
 
 duration admission_queue::serviceTime(admission_request const& request) const
 {
-    return serviceTime(request.kind, request.callClass);
+    return m_pace.timeFor(serviceTime(request.kind, request.callClass), m_lastEventAt);
 }
 
 admission_decision admission_queue::refuse(std::string const& id, admission_decision::kind kind, time_point now)
@@ -181,7 +185,8 @@
     admission_request const& request, time_point now, std::vector<admission_decision>& decisions)
 {
     m_limiter.didSend(now);
-    m_running[request.id] = { request.kind.empty() ? className(request.callClass) : request.kind, now };
+    m_running[request.id]
+        = { request.kind.empty() ? className(request.callClass) : request.kind, now, m_pace.percentAt(now) };
     decisions.push_back({ request.id, admission_decision::kind::Run, milliseconds(0) });
 }
 
--- a/Libraries/LibCalls/admission_queue.h
+++ b/Libraries/LibCalls/admission_queue.h
@@ -2,6 +2,7 @@
 
 #include <LibCalls/request_limiter.h>
 #include <LibCore/time.h>
+#include <LibRouting/pace_estimate.h>
 #include <LibRouting/service_times.h>
 #include <LibWire/call_messages.h>
 #include <cstdint>
@@ -79,6 +80,10 @@
         m_limiter.setLimit(requestsPerSecond, now);
     }
     std::optional<double> requestLimit() const { return m_limiter.limit(); }
+    // The pace that the target has announced. Expected times are those at this pace; what is learnt about service times
+    // is converted to the usual pace.
+    void setPace(pace_estimate const& pace) { m_pace = pace; }
+    pace_estimate const& pace() const { return m_pace; }
 
     // Decides about a new call. The first decision is about this call, further ones are about waiting calls that it
     // displaced from the full queue.
@@ -102,13 +107,14 @@
     // Slots in use and calls queued, in thousandths of the slots; or more if the request limit makes a call wait: the
     // load under which slots alone would make it wait as long.
     std::uint32_t loadPermille(time_point now) const;
-    // Estimated mean service time; zero before the first call of the kind or class has ended.
+    // Estimated mean service time at the usual pace; zero before the first call of the kind or class has ended.
     duration serviceTime(std::string const& kind, call_class) const;
 
 private:
     struct running_call {
         std::string kind;
         time_point since {};
+        std::uint32_t pacePercent { 0 };
     };
     struct waiting_call {
         admission_request request;
@@ -121,6 +127,7 @@
     duration expectedWaitForSlot(std::size_t callsAhead) const;
     // The reason to refuse a call that would have to wait too long.
     admission_decision::kind capacityRefusal(std::size_t callsAhead, time_point now) const;
+    // Both at the pace of the target.
     duration serviceTimeOfRunning() const;
     duration serviceTime(admission_request const&) const;
     admission_decision refuse(std::string const& id, admission_decision::kind, time_point now);
@@ -145,6 +152,9 @@
     // In order of arrival; precedes() gives the order of service.
     std::deque<waiting_call> m_waiting;
     service_times m_serviceTimes;
+    pace_estimate m_pace;
+    // The time of the last event, for which the pace is estimated.
+    time_point m_lastEventAt {};
     // When a late call was last refused because of starvation.
     std::optional<time_point> m_starvedAt;
     // Exponentially decaying count of refusals, as of m_refusedAt.
--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -357,6 +357,7 @@
         m_outstanding.erase(attempt.target.address);
     m_chooser.didEnd(attempt.target.id, ending.outcome, ending.loadPermille, now);
     m_chooser.didReportServiceTime(attempt.target.id, record.policy.name, microseconds(ending.serviceUs));
+    m_chooser.didReportPace(attempt.target.id, ending.pacePercent, now);
     m_attempts.erase(attempt.id);
     record.attempt.reset();
 }
--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -131,6 +131,7 @@
         std::optional<std::uint32_t> loadPermille;
         // The target's recent service time for calls of this kind; 0 if not reported.
         std::uint32_t serviceUs { 0 };
+        std::uint32_t pacePercent { 0 };
     };
 
     // Makes the final outcome for a refusal, with its message and a retry-after time of at least 1 ms.
--- a/Libraries/LibCalls/call_client_frames.cpp
+++ b/Libraries/LibCalls/call_client_frames.cpp
@@ -17,7 +17,7 @@
     m_crashing->didEndWell(record->fingerprint, crashing_requests::run_place::OtherVm, now);
     if (answer.departedStart > 0)
         out.push_back(target_departed { outcome.target, answer.departedStart });
-    endAttempt(*record, { attempt_outcome::Answered, answer.loadPermille, answer.serviceUs }, now);
+    endAttempt(*record, { attempt_outcome::Answered, answer.loadPermille, answer.serviceUs, answer.pacePercent }, now);
     if (retryFailure(*record, outcome, now, random, out))
         return;
     complete(*record, std::move(outcome), out);
@@ -34,7 +34,7 @@
     // call.
     bool const isTargetDown = refusal.reason == refusal_reason::TargetUnreachable;
     auto const outcome = isTargetDown ? attempt_outcome::Unreachable : attempt_outcome::Refused;
-    retryNotRun(*record, { outcome, refusal.loadPermille, refusal.serviceUs },
+    retryNotRun(*record, { outcome, refusal.loadPermille, refusal.serviceUs, refusal.pacePercent },
         notRun(refusal.reason, refusal.retryAfterMs), now, random, out);
 }
 
--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Above this pace, a target takes no call that can start at once elsewhere.
+constexpr std::uint32_t slowPacePercent = 150;
+
 refusal_reason reasonOf(admission_decision::kind refusal)
 {
     switch (refusal) {
@@ -72,7 +75,8 @@
     }
     auto const* serviceConfiguration = configuration.service(call.service);
     auto& queue = queueOf(call, *serviceConfiguration, *targets.find(call.target));
-    if (call.onlyIfFree && !queue.canStart(call.callClass, now)) {
+    bool const isSlow = queue.pace().percentAt(now) > slowPacePercent;
+    if (call.onlyIfFree && (isSlow || !queue.canStart(call.callClass, now))) {
         refuse(waiter, call, refusal_reason::Overloaded, retryAfterRouteChange, now, actions);
         return actions;
     }
@@ -263,6 +267,12 @@
     return actions;
 }
 
+void call_server::didAnnouncePace(std::string const& target, std::uint32_t percent, time_point now)
+{
+    if (auto const queue = m_queues.find(target); queue != m_queues.end())
+        queue->second.setPace({ percent, now });
+}
+
 std::vector<server_action> call_server::tick(time_point now)
 {
     std::vector<server_action> actions;
@@ -303,7 +313,8 @@
     std::map<std::string, target_load> loads;
     for (auto const& [target, queue] : m_queues) {
         loads[target] = { queue.limits().slots, static_cast<std::uint32_t>(queue.running()),
-            static_cast<std::uint32_t>(queue.queued()), queue.loadPermille(now), queue.requestLimit() };
+            static_cast<std::uint32_t>(queue.queued()), queue.loadPermille(now), queue.requestLimit(),
+            queue.pace().percentAt(now) };
     }
     return loads;
 }
@@ -326,6 +337,7 @@
         m_fence.window(waiter.instance, now).markNotRun(attempt->number);
     call_refused refusal { waiter.attempt, reason, static_cast<std::uint32_t>(retryAfter.count()),
         loadOf(call.target, now), m_version, serviceUsOf(call) };
+    refusal.pacePercent = pacePercentOf(call.target, now);
     if (reason == refusal_reason::CrashesTargets)
         refusal.crashReports = m_crashing->reportsAbout(requestFingerprint(call.caller, call.path, call.body));
     actions.push_back(reply_to_origin { waiter.instance, refusal });
@@ -394,4 +406,10 @@
     return static_cast<std::uint32_t>(std::chrono::duration_cast<microseconds>(learnt).count());
 }
 
+std::uint32_t call_server::pacePercentOf(std::string const& target, time_point now) const
+{
+    auto const found = m_queues.find(target);
+    return found == m_queues.end() ? 0 : found->second.pace().percentAt(now);
+}
+
 } // namespace merlinpier
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -85,6 +85,8 @@
     std::uint32_t loadPermille { 0 };
     // The limit on requests that the target has announced, in requests a second.
     std::optional<double> requestLimit;
+    // How long work takes at the target now, in percent of the usual time; 0 if the target announces no pace.
+    std::uint32_t pacePercent { 0 };
 
     bool operator==(target_load const&) const = default;
 };
@@ -122,6 +124,8 @@
     // that it has none any more.
     std::vector<server_action> setRequestLimit(
         std::string const& target, std::optional<double> requestsPerSecond, time_point now);
+    // The target announced in an answer how long work takes there, in percent of the usual time.
+    void didAnnouncePace(std::string const& target, std::uint32_t percent, time_point now);
     // A call that a target of this VM made has failed; a run that reports a failure soon after has failed because of
     // it.
     void didFailInnerCall(time_point now) { m_lastInnerFailure = now; }
@@ -166,6 +170,7 @@
     call_status statusOf(call_origin const&, std::string const& attempt, time_point now);
     std::uint32_t loadOf(std::string const& target, time_point now) const;
     std::uint32_t serviceUsOf(call_request const&) const;
+    std::uint32_t pacePercentOf(std::string const& target, time_point now) const;
 
     call_server_settings m_settings;
     call_ledger m_ledger;
--- a/Libraries/LibCalls/call_server_runs.cpp
+++ b/Libraries/LibCalls/call_server_runs.cpp
@@ -34,6 +34,7 @@
     answer.isInnerFailure = hasFailed && m_lastInnerFailure && now - *m_lastInnerFailure <= innerFailureDelay;
     answer.loadPermille = loadOf(call.target, now);
     answer.serviceUs = serviceUsOf(call);
+    answer.pacePercent = pacePercentOf(call.target, now);
     answer.version = m_version;
     m_ledger.finish(id, std::move(answer), now);
     for (auto const& waiter : entry->waiters)
--- a/Libraries/LibRouting/target_chooser.cpp
+++ b/Libraries/LibRouting/target_chooser.cpp
@@ -199,7 +199,7 @@
     double const callsAheadPerSlot = std::max(0.0, inSystem + 1 - slots) / slots;
     auto const wait = std::chrono::duration_cast<duration>(
         std::chrono::duration<double, duration::period>(overallMean) * callsAheadPerSlot);
-    return wait + service;
+    return seen.pace.timeFor(wait + service, now);
 }
 
 bool target_chooser::isRetryWorthwhile(route_target const& target, call_demand const& demand, time_point now) const
@@ -224,6 +224,13 @@
         found->second.serviceTimes.addSample(kind, reported);
 }
 
+void target_chooser::didReportPace(std::string const& target, std::uint32_t percent, time_point now)
+{
+    auto const found = m_observations.find(target);
+    if (percent > 0 && found != m_observations.end())
+        found->second.pace = { percent, now };
+}
+
 std::optional<route_target> target_chooser::chooseForKey(service_route const& service,
     std::set<std::string> const& tried, std::string const& key, key_affinity affinity, time_point now) const
 {
--- a/Libraries/LibRouting/target_chooser.h
+++ b/Libraries/LibRouting/target_chooser.h
@@ -105,6 +105,8 @@
         service_route const&, call_demand const&, std::set<std::string> const& tried, time_point now) const;
     // Records the service time of calls of the kind that the target's daemon reported.
     void didReportServiceTime(std::string const& target, std::string const& kind, duration);
+    // Records the target's pace, in percent of the usual time; 0 if the target announces none.
+    void didReportPace(std::string const& target, std::uint32_t percent, time_point now);
     // Drops the observations of targets that no service of the snapshot has any more, once no attempt is in flight;
     // starts the slow start of new ones.
     void setSnapshot(routing_snapshot const&, time_point now);
--- a/Libraries/LibRouting/target_observation.h
+++ b/Libraries/LibRouting/target_observation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/time.h>
+#include <LibRouting/pace_estimate.h>
 #include <LibRouting/routing_snapshot.h>
 #include <LibRouting/service_times.h>
 #include <cstdint>
@@ -36,6 +37,8 @@
     duration slowStart { 0 };
     // Service times of calls at the target, as reported by its daemon.
     service_times serviceTimes;
+    // The pace that the target has announced; service times are those at the usual pace.
+    pace_estimate pace;
     // Attempts sent since the last load report.
     std::size_t sentSinceLoadReport { 0 };
 
--- a/Services/Daemon/own_target_dialect.cpp
+++ b/Services/Daemon/own_target_dialect.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr char const* notRunHeader = "Merlinpier-Not-Run";
-constexpr notice_headers noticeHeaders { "Merlinpier-Request-Limit", "Merlinpier-Leaving", "true" };
+constexpr notice_headers noticeHeaders { "Merlinpier-Request-Limit", "Merlinpier-Leaving", "true", "Merlinpier-Load" };
 // Fits into one frame between daemons, with its headers.
 constexpr std::size_t maximumAnswerBytes = 3 * 1024 * 1024;
 constexpr int statusServiceUnavailable = 503;
--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -65,9 +65,9 @@
     auto const totals = owner.calls().totals();
     nlohmann::json targets = nlohmann::json::array();
     for (auto const& [id, load] : owner.targets().loads())
-        targets.push_back(
-            { { "id", id }, { "slots", load.slots }, { "running", load.running }, { "queued", load.queued },
-                { "load_permille", load.loadPermille }, { "request_limit", limitJson(load.requestLimit) } });
+        targets.push_back({ { "id", id }, { "slots", load.slots }, { "running", load.running },
+            { "queued", load.queued }, { "load_permille", load.loadPermille },
+            { "request_limit", limitJson(load.requestLimit) }, { "pace_percent", load.pacePercent } });
     return { { "calls", totals.calls }, { "answered", totals.answered }, { "not_run", totals.notRun },
         { "unknown", totals.unknown }, { "retries", totals.retries }, { "queries", totals.queries },
         { "unsettled", owner.calls().unsettled() }, { "ejected", owner.calls().ejected() }, { "own_targets", targets },
@@ -171,6 +171,7 @@
         figures.setGauge("merlinpier_target_load_permille" + label, load.loadPermille);
         figures.setGauge("merlinpier_target_request_limit" + label,
             load.requestLimit ? std::max(*load.requestLimit, smallestShownLimit) : 0);
+        figures.setGauge("merlinpier_target_pace_percent" + label, load.pacePercent);
     }
     return figures.prometheusText();
 }
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -296,6 +296,7 @@
         logInfo("target_leaving", { { "target", target } });
         reportChange();
     }
+    didReceiveLoad(target, notice);
     if (notice.limitError) {
         logWarning("target_limit_refused", { { "target", target }, { "reason", *notice.limitError } });
         return;
@@ -306,6 +307,17 @@
         applyRequestLimit(target, "answer");
 }
 
+void target_gateway::didReceiveLoad(std::string const& target, target_notice const& notice)
+{
+    if (notice.loadError) {
+        if (m_targetsWithBadLoad.insert(target).second)
+            logWarning("target_load_refused", { { "target", target }, { "reason", *notice.loadError } });
+    } else if (notice.load)
+        m_targetsWithBadLoad.erase(target);
+    if (notice.load && notice.load->pacePercent)
+        m_server.didAnnouncePace(target, *notice.load->pacePercent, currentTime());
+}
+
 void target_gateway::applyRequestLimit(std::string const& target, char const* source)
 {
     auto const limit = m_targets.requestLimit(target);
--- a/Services/Daemon/target_gateway.h
+++ b/Services/Daemon/target_gateway.h
@@ -59,6 +59,7 @@
     void reportChange();
     // Takes in what a target says about itself in an answer to a call that was sent to it at the given time.
     void didReceiveNotice(std::string const& target, target_notice const&, target_verdict, time_point sentAt);
+    void didReceiveLoad(std::string const& target, target_notice const&);
     void applyRequestLimit(std::string const& target, char const* source);
 
     struct running_exchange {
@@ -77,6 +78,8 @@
     std::shared_ptr<configuration_set const> m_configuration;
     std::map<std::string, running_exchange> m_exchanges;
     std::set<std::string> m_checkedTargets;
+    // Targets whose last announced load could not be used, so that it is logged once.
+    std::set<std::string> m_targetsWithBadLoad;
     std::vector<target_record> m_lastRecords;
     // Shared with the callbacks of exchanges, which do nothing once the gateway is gone.
     std::shared_ptr<bool> m_isAlive;
--- a/Tests/platform/announced_limit_test.cpp
+++ b/Tests/platform/announced_limit_test.cpp
@@ -75,4 +75,18 @@
     EXPECT_EQ(m_target.requests, requests);
 }
 
+// Guards against a pace that is read but reaches no decision, and against one that outlives the answers that named it.
+TEST_F(AnnouncedLimitTest, KeepsThePaceThatATargetAnnounces)
+{
+    m_target.added = { { "Server-Load", "1,0,100" } };
+    callFor(milliseconds(50));
+    EXPECT_EQ(m_gateway.loads().at("t").pacePercent, 0u);
+    m_target.added = { { "Server-Load", "1,0,100,250" } };
+    callFor(milliseconds(50));
+    EXPECT_GT(m_gateway.loads().at("t").pacePercent, 200u);
+    m_target.added = { { "Server-Load", "1,0,100,very slow" } };
+    callFor(milliseconds(900));
+    EXPECT_LT(m_gateway.loads().at("t").pacePercent, 130u);
+}
+
 } // namespace merlinpier::platform
