LibCalls: Serve calls by rank, in-time set and tenant share when capacity is short

With earliest objective first, all calls of an overloaded queue wait until their objective is reached, many are late, and the tenant's priority plays no part. service_order plans the largest set that can be in time within each rank, refuses on arrival what has no place, and gives refused callers separate times to return. offered_work holds the decayed work by rank and tenant that it depends on.

Retries of tenants' calls are sent only where they end in time or well before the deadline.

--- a/Libraries/LibCalls/admission_queue.cpp
+++ b/Libraries/LibCalls/admission_queue.cpp
@@ -26,6 +26,8 @@
 std::vector<admission_decision> admission_queue::offer(admission_request const& request, time_point now)
 {
     using kind = admission_decision::kind;
+    if (m_order == admission_order::ServiceOrder)
+        return offerInServiceOrder(request, now);
     std::vector<admission_decision> decisions;
     auto const ahead = callsAheadOf(request, now);
     if (m_limits.isUnlimited || (ahead == 0 && hasSlotFor(request.callClass) && m_limiter.maySend(now))) {
@@ -60,6 +62,16 @@
     return m_limits.isUnlimited || (m_waiting.empty() && hasSlotFor(callClass) && m_limiter.maySend(now));
 }
 
+bool admission_queue::canStart(admission_request const& request, time_point now) const
+{
+    if (m_order == admission_order::ObjectiveFirst)
+        return canStart(request.callClass, now);
+    // Calls of lower ranks may wait beside a slot that is reserved for this one.
+    bool const isNext = std::all_of(m_waiting.begin(), m_waiting.end(),
+        [&](waiting_call const& waiting) { return rankOf(request) < rankOf(waiting.request); });
+    return m_limits.isUnlimited || (isNext && mayStart(request, now));
+}
+
 std::vector<admission_decision> admission_queue::release(std::string const& id, learning mode, time_point now)
 {
     std::vector<admission_decision> decisions;
@@ -181,12 +193,17 @@
     admission_request const& request, time_point now, std::vector<admission_decision>& decisions)
 {
     m_limiter.didSend(now);
-    m_running[request.id] = { request.kind.empty() ? className(request.callClass) : request.kind, now };
+    m_running[request.id]
+        = { request.kind.empty() ? className(request.callClass) : request.kind, now, rankOf(request) };
     decisions.push_back({ request.id, admission_decision::kind::Run, milliseconds(0) });
 }
 
 void admission_queue::startWaiting(time_point now, std::vector<admission_decision>& decisions)
 {
+    if (m_order == admission_order::ServiceOrder) {
+        settle(now, decisions);
+        return;
+    }
     refuseUnservable(now, decisions);
     while (!m_waiting.empty()) {
         auto const next = std::min_element(m_waiting.begin(), m_waiting.end(),
--- a/Libraries/LibCalls/admission_queue.h
+++ b/Libraries/LibCalls/admission_queue.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <LibCalls/offered_work.h>
 #include <LibCalls/request_limiter.h>
+#include <LibCalls/service_order.h>
 #include <LibCore/time.h>
 #include <LibRouting/service_times.h>
 #include <LibWire/call_messages.h>
@@ -41,10 +43,17 @@
     time_point objective {};
     // Whether the objective had already passed when the caller's request arrived.
     bool isLate { false };
+    // The following count in the service order only. The tenant is empty if the call belongs to none.
+    std::string tenant {};
+    std::optional<std::uint32_t> tenantPriority {};
+    // An earlier attempt of the call may have reached a target.
+    bool isRetry { false };
 
     bool operator==(admission_request const&) const = default;
 };
 
+service_rank rankOf(admission_request const&);
+
 // The decision about a call that requested a slot or was waiting for one.
 struct admission_decision {
     // RefuseLimit: the target has free slots, but its announced limit on requests is used up.
@@ -58,6 +67,37 @@
     bool operator==(admission_decision const&) const = default;
 };
 
+inline bool isRefusal(admission_decision const& decision)
+{
+    return decision.verdict != admission_decision::kind::Run && decision.verdict != admission_decision::kind::Wait;
+}
+
+// What would become of a call that was offered now, without offering it.
+struct admission_outlook {
+    admission_decision decision;
+    service_standing standing { service_standing::InTime };
+    // Expected wait for a slot, and the number of waiting calls that would be served before.
+    duration wait { 0 };
+    std::size_t callsAhead { 0 };
+
+    bool operator==(admission_outlook const&) const = default;
+};
+
+// Decisions of the service order, since the daemon started.
+struct service_order_totals {
+    std::uint64_t refusedOnArrival { 0 };
+    // Refused after waiting.
+    std::uint64_t displaced { 0 };
+    // Refusals whose retry-after time leaves the caller enough of its time to come back.
+    std::uint64_t invitedBack { 0 };
+    std::uint64_t returnedOffered { 0 };
+    std::uint64_t returnedStarted { 0 };
+    // Starts out of turn by the minimum share of lower ranks.
+    std::uint64_t startedByMinimumShare { 0 };
+
+    bool operator==(service_order_totals const&) const = default;
+};
+
 // Admission control of one target: its slots, the limit on requests that it has announced, and a short queue in front
 // of both. A call that is expected to miss its deadline, or to miss its latency objective by more than the late
 // allowance, is refused at once; the expectation is based on the service times measured so far.
@@ -69,6 +109,11 @@
 // until its deadline without being served; for one service time after that, late calls that would have to wait are
 // refused at once, so that their callers need not wait for the same refusal. A slot is held until release() is called
 // for its call.
+//
+// With admission_order::ServiceOrder, class service_order decides instead of the queue order and these refusals: a call
+// without a place is refused at once, and its retry-after time is a time at which its rank has room, spread over
+// callers. Where calls of lower ranks would hold all slots for longer than the most urgent rank can wait, a sixth of
+// the slots is reserved for that rank.
 class admission_queue {
 public:
     void setLimits(admission_limits const& limits) { m_limits = limits; }
@@ -79,12 +124,17 @@
         m_limiter.setLimit(requestsPerSecond, now);
     }
     std::optional<double> requestLimit() const { return m_limiter.limit(); }
+    void setOrder(admission_order order) { m_order = order; }
+    admission_order order() const { return m_order; }
 
     // Decides about a new call. The first decision is about this call, further ones are about waiting calls that it
     // displaced from the full queue.
     std::vector<admission_decision> offer(admission_request const&, time_point now);
     // Whether a call offered now would start at once.
     bool canStart(call_class, time_point now) const;
+    bool canStart(admission_request const&, time_point now) const;
+    // What offer() would decide about the call.
+    admission_outlook outlook(admission_request const&, time_point now) const;
     // Frees the slot of a call that has ended and starts waiting calls. With Learn, the call's service time is added to
     // the estimate; use Ignore for calls that were aborted, refused or lost.
     enum class learning { Learn, Ignore };
@@ -104,16 +154,26 @@
     std::uint32_t loadPermille(time_point now) const;
     // Estimated mean service time; zero before the first call of the kind or class has ended.
     duration serviceTime(std::string const& kind, call_class) const;
+    service_order_totals const& orderTotals() const { return m_orderTotals; }
 
 private:
     struct running_call {
         std::string kind;
         time_point since {};
+        service_rank rank;
     };
     struct waiting_call {
         admission_request request;
         // Number of calls that arrived later but were started first.
         std::uint32_t overtakenBy { 0 };
+        // In the service order: whether the call has been given a place.
+        bool isHeld { false };
+    };
+    // The most urgent rank that was offered lately, and how long its calls can wait.
+    struct urgent_rank {
+        service_rank rank;
+        duration slack { 0 };
+        time_point seenAt {};
     };
 
     bool hasSlotFor(call_class) const;
@@ -139,6 +199,26 @@
     bool precedes(admission_request const&, admission_request const&, time_point now) const;
     std::size_t callsAheadOf(admission_request const&, time_point now) const;
 
+    // The part for the service order.
+    std::vector<admission_decision> offerInServiceOrder(admission_request const&, time_point now);
+    pending_call pendingCall(admission_request const&, bool isHeld, time_point now) const;
+    service_capacity capacity(time_point now) const;
+    // The places of the waiting calls, by their index.
+    std::vector<service_place> plan(time_point now) const;
+    // Refuses the waiting calls that have no place, starts others in free slots, and shortens the queue to its limit.
+    void settle(time_point now, std::vector<admission_decision>&);
+    // Starts the calls whose turn it is and removes their places.
+    void startInServiceOrder(std::vector<service_place>&, time_point now, std::vector<admission_decision>&);
+    void creditLowerRanks(admission_request const& started, std::vector<service_place> const& stillWaiting);
+    bool startByMinimumShare(std::vector<service_place>&, time_point now, std::vector<admission_decision>&);
+    void startWaitingCall(waiting_call const&, time_point now, std::vector<admission_decision>&);
+    bool mayStart(admission_request const&, time_point now) const;
+    bool isReservedAgainst(service_rank const&, time_point now) const;
+    void noteUrgency(admission_request const&, time_point now);
+    void giveUp(waiting_call const&, duration wait, time_point now, std::vector<admission_decision>&);
+    admission_decision refusalInServiceOrder(admission_request const&, duration wait, time_point now) const;
+    static bool isInvitation(admission_decision const&, admission_request const&, time_point now);
+
     admission_limits m_limits;
     request_limiter m_limiter;
     std::map<std::string, running_call> m_running;
@@ -150,6 +230,16 @@
     // Exponentially decaying count of refusals, as of m_refusedAt.
     double m_recentRefusals { 0 };
     time_point m_refusedAt {};
+
+    admission_order m_order { admission_order::ObjectiveFirst };
+    offered_work m_offered;
+    std::optional<urgent_rank> m_urgent;
+    // When the next refused caller of a rank finds room.
+    std::map<service_rank, time_point> m_nextRoom;
+    // Work that calls of a rank may start out of turn, since they got less than their minimum share; negative if they
+    // got more.
+    std::map<service_rank, duration> m_credits;
+    service_order_totals m_orderTotals;
 };
 
 } // namespace merlinpier
--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -6,6 +6,7 @@
 #include <LibCalls/caller_request.h>
 #include <LibCalls/crashing_requests.h>
 #include <LibCalls/elapsed_time_estimator.h>
+#include <LibCalls/service_order.h>
 #include <LibCore/generator.h>
 #include <LibCore/time.h>
 #include <LibRouting/retry_budgets.h>
@@ -39,6 +40,8 @@
     bool retriesFailures { false };
     // Retry budget shared by all daemons, if there is one; otherwise each service's configuration sets its budget.
     std::optional<shared_budget_settings> sharedBudget;
+    // With Value, or for calls of tenants unless it is Deadline, retries follow the service order.
+    order_choice order { order_choice::Automatic };
 };
 
 // Asks the owner to send the call, with the link's generation filled in, to the daemon as soon as its link is ready,
@@ -141,6 +144,8 @@
     call_record* findByAttempt(std::string const& attempt);
     bool joinInProgress(caller_request const&);
     void setDeadlineAndObjective(call_record&, time_point now);
+    // Whether to send the call to the target after another one refused or failed it.
+    bool isRetryWorthwhile(call_record const&, route_target const&, time_point now) const;
     std::optional<route_target> chooseTarget(call_record const&, time_point now, generator&) const;
     call_not_run refusalForNoTarget(call_record const&, time_point now) const;
     call_demand demandOf(call_record const&, time_point now) const;
--- a/Libraries/LibCalls/call_client_retries.cpp
+++ b/Libraries/LibCalls/call_client_retries.cpp
@@ -33,7 +33,23 @@
     if (record.isBoundToTarget())
         return false;
     // If every other target is loaded as well, a retry only adds to the load.
-    return !isLoadRefusal(reason) || m_chooser.isRetryWorthwhile(*next, demandOf(record, now), now);
+    return !isLoadRefusal(reason) || isRetryWorthwhile(record, *next, now);
+}
+
+bool call_client::isRetryWorthwhile(call_record const& record, route_target const& target, time_point now) const
+{
+    bool const isAutomatic = m_settings.order == order_choice::Automatic;
+    bool const followsServiceOrder
+        = m_settings.order == order_choice::Value || (isAutomatic && !record.request.tenant.empty());
+    if (followsServiceOrder) {
+        pending_call call { .timeLeft = record.deadline - now, .hasReturned = record.isLate, .isRetry = true };
+        if (!record.isLate)
+            call.objectiveLeft = record.objective - now;
+        auto const finish = m_chooser.expectedFinish(target, record.policy.name, now);
+        if (!service_order::isRetryWorthwhile(call, finish))
+            return false;
+    }
+    return m_chooser.isRetryWorthwhile(target, demandOf(record, now), now);
 }
 
 // The attempt was not run: retries the call, or completes it with the refusal.
@@ -128,7 +144,7 @@
         return false;
     record.tried.insert(answered.target);
     auto const next = chooseTarget(record, now, random);
-    if (!next || !m_chooser.isRetryWorthwhile(*next, demandOf(record, now), now) || !tryConsumeBudget(record, now))
+    if (!next || !isRetryWorthwhile(record, *next, now) || !tryConsumeBudget(record, now))
         return false;
     record.failure = answered;
     record.mayHaveRun = true;
--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -72,7 +72,9 @@
     }
     auto const* serviceConfiguration = configuration.service(call.service);
     auto& queue = queueOf(call, *serviceConfiguration, *targets.find(call.target));
-    if (call.onlyIfFree && !queue.canStart(call.callClass, now)) {
+    auto const deadline = now + milliseconds(call.remainingMs);
+    auto const objective = call.objectiveMs > 0 ? now + milliseconds(call.objectiveMs) : time_point {};
+    if (call.onlyIfFree && !queue.canStart(admissionRequest(call, deadline, objective), now)) {
         refuse(waiter, call, refusal_reason::Overloaded, retryAfterRouteChange, now, actions);
         return actions;
     }
@@ -82,11 +84,11 @@
     entry.request = request;
     entry.isTrial = standing == request_standing::Suspect;
     entry.targetStart = targets.find(call.target)->startedAt;
-    entry.deadline = now + milliseconds(call.remainingMs);
+    entry.deadline = deadline;
     entry.targetAddress = targets.find(call.target)->address;
     entry.retention = std::max<duration>(
         m_settings.answerRetention, attempt->isKeyed ? serviceConfiguration->answerRetention : duration::zero());
-    entry.objective = call.objectiveMs > 0 ? now + milliseconds(call.objectiveMs) : time_point {};
+    entry.objective = objective;
     offer(m_ledger.add(attempt->call, std::move(entry)), now, actions);
     return actions;
 }
@@ -178,7 +180,7 @@
         return actions;
     }
     if (isLast && entry->state == run_state::Running)
-        actions.push_back(abort_call { attempt->call });
+        actions.emplace_back(std::in_place_type<abort_call>, abort_call { attempt->call });
     m_ledger.release(waiter, attempt->call);
     return actions;
 }
@@ -303,7 +305,8 @@
     std::map<std::string, target_load> loads;
     for (auto const& [target, queue] : m_queues) {
         loads[target] = { queue.limits().slots, static_cast<std::uint32_t>(queue.running()),
-            static_cast<std::uint32_t>(queue.queued()), queue.loadPermille(now), queue.requestLimit() };
+            static_cast<std::uint32_t>(queue.queued()), queue.loadPermille(now), queue.requestLimit(), queue.order(),
+            queue.orderTotals() };
     }
     return loads;
 }
@@ -316,9 +319,18 @@
     auto const slots = service.answers.slotsPerCopy > 0 ? service.answers.slotsPerCopy : target.slots;
     auto const queueLimit = service.queueLimit > 0 ? service.queueLimit : slots * m_settings.queuedPerSlot;
     queue.setLimits({ slots, queueLimit, m_settings.deadlineMargin, isUnlimited });
+    bool const isAutomatic = m_settings.order == order_choice::Automatic;
+    if (m_settings.order == order_choice::Value || (isAutomatic && !call.tenant.empty()))
+        queue.setOrder(admission_order::ServiceOrder);
     return queue;
 }
 
+void call_server::didAnnouncePace(std::string const& target)
+{
+    if (m_settings.order == order_choice::Automatic)
+        m_queues[target].setOrder(admission_order::ServiceOrder);
+}
+
 void call_server::refuse(call_waiter const& waiter, call_request const& call, refusal_reason reason,
     milliseconds retryAfter, time_point now, std::vector<server_action>& actions)
 {
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -36,6 +36,8 @@
     std::uint32_t queuedPerSlot { 2 };
     // The fence and the attempt numbers of an originating daemon's instance are dropped after this time without frames.
     milliseconds originRetention { 24 * 3600 * 1000 };
+    // The order in which waiting calls are served.
+    order_choice order { order_choice::Automatic };
 };
 
 // The originating daemon of a frame: the instance identifies one run of that daemon from start to exit, the generation
@@ -85,6 +87,9 @@
     std::uint32_t loadPermille { 0 };
     // The limit on requests that the target has announced, in requests a second.
     std::optional<double> requestLimit;
+    admission_order order { admission_order::ObjectiveFirst };
+    // Decisions of the service order at this target.
+    service_order_totals orderTotals;
 
     bool operator==(target_load const&) const = default;
 };
@@ -122,6 +127,8 @@
     // that it has none any more.
     std::vector<server_action> setRequestLimit(
         std::string const& target, std::optional<double> requestsPerSecond, time_point now);
+    // The target announced its pace in an answer.
+    void didAnnouncePace(std::string const& target);
     // A call that a target of this VM made has failed; a run that reports a failure soon after has failed because of
     // it.
     void didFailInnerCall(time_point now) { m_lastInnerFailure = now; }
@@ -143,6 +150,7 @@
     // Retry-after time of refusals that are not caused by load: routes are usually updated by then.
     static constexpr milliseconds retryAfterRouteChange { 100 };
 
+    static admission_request admissionRequest(call_request const&, time_point deadline, time_point objective);
     admission_queue& queueOf(call_request const&, service_configuration const&, target_announcement const&);
     bool wasAdmitted(call_waiter const&, attempt_identifier const&, time_point now);
     bool handleKnownAttempt(call_origin const&, attempt_identifier const&, call_request const&, time_point now,
--- a/Services/Sidecar/main.cpp
+++ b/Services/Sidecar/main.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <platform/client_front.h>
 #include <platform/platform_settings.h>
 #include <platform/platform_store.h>
@@ -225,6 +226,13 @@
            "cost of a kilobyte transferred between availability zones, as the same fraction")
         ->check(CLI::Range(0.0, 10.0))
         ->capture_default_str();
+    std::map<std::string, order_choice> const orders { { "auto", order_choice::Automatic },
+        { "value", order_choice::Value }, { "deadline", order_choice::Deadline } };
+    app.add_option("--service-order", given.serviceOrder,
+           "order of waiting calls: by the value that they keep, by deadline, or by value where calls name tenants or "
+           "the target its pace")
+        ->transform(CLI::CheckedTransformer(orders).description("auto|value|deadline"))
+        ->default_str("auto");
     app.add_flag("--check-settings", checkOnly, "check the settings, print what is wrong with them and end");
     try {
         app.parse(argumentCount, arguments);
