--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -77,8 +77,10 @@
     }
     auto const* serviceConfiguration = configuration.service(call.service);
     auto& queue = queueOf(call, *serviceConfiguration, *targets.find(call.target));
+    auto const deadline = now + milliseconds(call.remainingMs);
+    auto const objective = call.objectiveMs > 0 ? now + milliseconds(call.objectiveMs) : time_point {};
     bool const isSlow = queue.pace().percentAt(now) > slowPacePercent;
-    if (call.onlyIfFree && (isSlow || !queue.canStart(call.callClass, now))) {
+    if (call.onlyIfFree && (isSlow || !queue.canStart(admissionRequest(call, deadline, objective), now))) {
         refuse(waiter, call, refusal_reason::Overloaded, retryAfterRouteChange, now, actions);
         return actions;
     }
@@ -88,11 +90,11 @@
     entry.request = request;
     entry.isTrial = standing == request_standing::Suspect;
     entry.targetStart = targets.find(call.target)->startedAt;
-    entry.deadline = now + milliseconds(call.remainingMs);
+    entry.deadline = deadline;
     entry.targetAddress = targets.find(call.target)->address;
     entry.retention = std::max<duration>(
         m_settings.answerRetention, attempt->isKeyed ? serviceConfiguration->answerRetention : duration::zero());
-    entry.objective = call.objectiveMs > 0 ? now + milliseconds(call.objectiveMs) : time_point {};
+    entry.objective = objective;
     offer(m_ledger.add(attempt->call, std::move(entry)), now, actions);
     return actions;
 }
@@ -184,7 +186,7 @@
         return actions;
     }
     if (isLast && entry->state == run_state::Running)
-        actions.emplace_back(abort_call { attempt->call });
+        actions.emplace_back(std::in_place_type<abort_call>, abort_call { attempt->call });
     m_ledger.release(waiter, attempt->call);
     return actions;
 }
@@ -271,8 +273,12 @@
 
 void call_server::didAnnouncePace(std::string const& target, std::uint32_t percent, time_point now)
 {
-    if (auto const queue = m_queues.find(target); queue != m_queues.end())
-        queue->second.setPace({ percent, now });
+    auto const queue = m_queues.find(target);
+    if (queue == m_queues.end())
+        return;
+    queue->second.setPace({ percent, now });
+    if (m_settings.order == order_choice::Automatic)
+        queue->second.setOrder(admission_order::ServiceOrder);
 }
 
 std::vector<server_action> call_server::tick(time_point now)
@@ -316,7 +322,7 @@
     for (auto const& [target, queue] : m_queues) {
         loads[target] = { queue.limits().slots, static_cast<std::uint32_t>(queue.running()),
             static_cast<std::uint32_t>(queue.queued()), queue.loadPermille(now), queue.requestLimit(),
-            queue.pace().percentAt(now) };
+            queue.pace().percentAt(now), queue.order(), queue.orderTotals() };
     }
     return loads;
 }
@@ -329,6 +335,9 @@
     auto const slots = service.answers.slotsPerCopy > 0 ? service.answers.slotsPerCopy : target.slots;
     auto const queueLimit = service.queueLimit > 0 ? service.queueLimit : slots * m_settings.queuedPerSlot;
     queue.setLimits({ slots, queueLimit, m_settings.deadlineMargin, isUnlimited });
+    bool const isAutomatic = m_settings.order == order_choice::Automatic;
+    if (m_settings.order == order_choice::Value || (isAutomatic && !call.tenant.empty()))
+        queue.setOrder(admission_order::ServiceOrder);
     return queue;
 }
 
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -37,6 +37,8 @@
     std::uint32_t queuedPerSlot { 2 };
     // The fence and the attempt numbers of an originating daemon's instance are dropped after this time without frames.
     milliseconds originRetention { 24 * 3600 * 1000 };
+    // The order in which waiting calls are served.
+    order_choice order { order_choice::Automatic };
 };
 
 // The originating daemon of a frame: the instance identifies one run of that daemon from start to exit, the generation
@@ -88,6 +90,9 @@
     std::optional<double> requestLimit;
     // How long work takes at the target now, in percent of the usual time; 0 if the target announces no pace.
     std::uint32_t pacePercent { 0 };
+    admission_order order { admission_order::ObjectiveFirst };
+    // Decisions of the service order at this target.
+    service_order_totals orderTotals;
 
     bool operator==(target_load const&) const = default;
 };
@@ -149,6 +154,7 @@
     // Retry-after time of refusals that are not caused by load: routes are usually updated by then.
     static constexpr milliseconds retryAfterRouteChange { 100 };
 
+    static admission_request admissionRequest(call_request const&, time_point deadline, time_point objective);
     admission_queue& queueOf(call_request const&, service_configuration const&, target_announcement const&);
     bool wasAdmitted(call_waiter const&, attempt_identifier const&, time_point now);
     bool handleKnownAttempt(call_origin const&, attempt_identifier const&, call_request const&, time_point now,
