LibRollout: Judge new versions in simulated fleets

Good versions were lost when both versions failed alike, because early failures were scored before the old version's rate was known, and when a few runs of a rare kind leant either way. Old targets refuse at once after done, also at a daemon that has just restarted.

--- a/Libraries/LibRollout/rollout_controller.cpp
+++ b/Libraries/LibRollout/rollout_controller.cpp
@@ -279,7 +279,8 @@
     if (known->state == rollout_state::RolledBack)
         return version == known->targetVersion;
     bool const isReplaced = accessOf(m_gate.rules(), service, version) == version_access::Replaced;
-    return isReplaced && now - known->changedAt >= refusalDelay;
+    bool const haveAllMoved = known->state == rollout_state::Done || now - known->changedAt >= refusalDelay;
+    return isReplaced && haveAllMoved;
 }
 
 bool rollout_controller::mayRest(std::string const& service, time_point now) const
--- a/Libraries/LibRollout/rollout_evidence.cpp
+++ b/Libraries/LibRollout/rollout_evidence.cpp
@@ -146,7 +146,8 @@
 rollout_finding rollout_evidence::failuresOf(std::string const& kind, failure_test const& test) const
 {
     return { rollout_fault::Failures, kind, test.runs(), test.failures(),
-        static_cast<double>(test.failures()) / static_cast<double>(test.runs()), failureRateOfOld(kind) };
+        test.runs() == 0 ? 0 : static_cast<double>(test.failures()) / static_cast<double>(test.runs()),
+        failureRateOfOld(kind) };
 }
 
 std::optional<rollout_finding> rollout_evidence::findFailures() const
@@ -158,13 +159,13 @@
     return std::nullopt;
 }
 
+// Of all kinds together only: a few runs of a rare kind lean either way by chance.
 std::optional<rollout_finding> rollout_evidence::leaning() const
 {
-    for (auto const& [kind, test] : m_failureTests) {
-        if (test.isLeaningBad(m_newTargets))
-            return failuresOf(kind, test);
-    }
-    return std::nullopt;
+    auto const overall = m_failureTests.find({});
+    if (overall == m_failureTests.end() || !overall->second.isLeaningBad(m_newTargets))
+        return std::nullopt;
+    return failuresOf({}, overall->second);
 }
 
 rollout_evidence::counts rollout_evidence::spanOf(source const& source, std::string const& kind, time_span span) const
--- a/Libraries/LibRollout/version_gate.cpp
+++ b/Libraries/LibRollout/version_gate.cpp
@@ -118,7 +118,8 @@
         auto& state = m_services.try_emplace(service, service_state { {}, now }).first->second;
         // A version whose targets are away for a moment is not new when they are back.
         if (state.firstSeen.size() >= maximumVersions)
-            std::erase_if(state.firstSeen, [&](auto const& entry) { return !versions.contains(entry.first); });
+            std::erase_if(
+                state.firstSeen, [&present = versions](auto const& entry) { return !present.contains(entry.first); });
         for (auto const& [version, summary] : versions)
             state.firstSeen.try_emplace(version, now);
         m_dependsOnTime |= versions.size() > 1 || rollouts.find(service);
--- a/Tests/LibCalls/canary_calls_test.cpp
+++ b/Tests/LibCalls/canary_calls_test.cpp
@@ -34,6 +34,7 @@
         m_client.setSnapshot(
             routing_snapshot::build(configuration, members, {}, { { "slots", { { "v2", version_access::Canary } } } }),
             start);
+        m_client.setDaemons(1);
         m_exposure->begin("slots", 41, 0.08, 0);
     }
 
