LibNet, LibLoop, LibRouting, LibCalls: Send large answers in parts and count links like slots

A download held its link for its whole length, and a burst of them filled a VM's link from all kernel buffers at once. Answers of bulk calls now go in parts of 16 KB on connections whose opener announces takes_parts in its hello: two connections at a time, earliest deadline first, with at most 16 KB unsent in the kernel before a part; other frames go as before. Bulk calls are chosen by the bytes under way on the target's link, own VM first, and refused where the VM's link cannot send the answer in time.

TestLibWire, Testplatform, TestSystem not run.

--- a/Libraries/LibCalls/call_attempt.h
+++ b/Libraries/LibCalls/call_attempt.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/time.h>
 #include <LibRouting/routing_snapshot.h>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,6 +27,8 @@
     time_point firstQueriedAt {};
     // Whether the target's daemon was asked to refuse the call unless it can start at once.
     bool isProbe { false };
+    // Expected size of the answer if it is large and passes the link of the target's VM.
+    std::size_t bulkBytes { 0 };
 
     bool operator==(call_attempt const&) const = default;
 };
--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -253,7 +253,7 @@
     auto const size = m_meanBytesByKind.find(record.policy.name);
     auto const bytes
         = size == m_meanBytesByKind.end() ? record.request.body.size() : static_cast<std::size_t>(size->second);
-    return { record.policy.name, record.objective - now, bytes, record.request.body.size() };
+    return { record.policy.name, record.objective - now, bytes, record.request.body.size(), record.policy.isBulk };
 }
 
 // Makes the refusal for a call that no target is left for: overloaded, with a retry-after time, if the chooser expects
@@ -301,6 +301,10 @@
     record.attempt->isProbe = isProbe(record, *target, now);
     m_attempts[record.attempt->id] = record.request.id;
     m_chooser.didSend(target->id, now);
+    if (record.policy.isBulk && target->vm != m_chooser.settings().vm) {
+        record.attempt->bulkBytes = demandOf(record, now).bytes;
+        m_chooser.didSendBulk(*target, record.attempt->bulkBytes);
+    }
     out.push_back(dispatch_call { target->address, makeCall(record, *target, now) });
 }
 
@@ -355,6 +359,7 @@
     auto const& attempt = *record.attempt;
     if (attempt.state != attempt_state::Dispatched && --m_outstanding[attempt.target.address] == 0)
         m_outstanding.erase(attempt.target.address);
+    m_chooser.didEndBulk(attempt.target, attempt.bulkBytes);
     m_chooser.didEnd(attempt.target.id, ending.outcome, ending.loadPermille, now);
     m_chooser.didReportServiceTime(attempt.target.id, record.policy.name, microseconds(ending.serviceUs));
     m_attempts.erase(attempt.id);
--- a/Libraries/LibCalls/call_ledger.cpp
+++ b/Libraries/LibCalls/call_ledger.cpp
@@ -118,6 +118,18 @@
         [](auto const& item) { return item.second.state == run_state::Running && item.second.call.isRetry; });
 }
 
+std::map<std::string, std::size_t> call_ledger::unansweredBulk(std::uint64_t ownInstance) const
+{
+    std::map<std::string, std::size_t> counts;
+    for (auto const& [call, entry] : m_entries) {
+        bool const isRemote = std::any_of(entry.waiters.begin(), entry.waiters.end(),
+            [&](call_waiter const& waiter) { return waiter.instance != ownInstance; });
+        if (entry.call.isBulk && !entry.hasEnded() && isRemote)
+            ++counts[entry.call.entryPoint];
+    }
+    return counts;
+}
+
 void call_ledger::dropAnswer(ledger_entry& entry)
 {
     if (!entry.answer)
--- a/Libraries/LibCalls/call_ledger.h
+++ b/Libraries/LibCalls/call_ledger.h
@@ -75,6 +75,8 @@
     std::vector<std::string> runningAt(std::string const& target) const;
     // Number of running calls that are retries.
     std::size_t runningRetries() const;
+    // Number of bulk calls by kind that have no answer yet, without those that only the instance itself waits for.
+    std::map<std::string, std::size_t> unansweredBulk(std::uint64_t ownInstance) const;
     std::size_t answerBytes() const { return m_answerBytes; }
 
 private:
--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -76,6 +76,11 @@
         refuse(waiter, call, refusal_reason::Overloaded, retryAfterRouteChange, now, actions);
         return actions;
     }
+    if (auto const late = linkShortFor(origin, call)) {
+        ++m_linkRefusals;
+        refuse(waiter, call, refusal_reason::Overloaded, *late, now, actions);
+        return actions;
+    }
     ledger_entry entry { .call = call, .isKeyed = attempt->isKeyed };
     entry.waiters = { waiter };
     entry.call.id = attempt->call;
@@ -86,6 +91,9 @@
     entry.targetAddress = targets.find(call.target)->address;
     entry.retention = std::max<duration>(
         m_settings.answerRetention, attempt->isKeyed ? serviceConfiguration->answerRetention : duration::zero());
+    // After the deadline nobody asks for the answer, which may be large, and the call may run again.
+    if (call.isBulk && call.isIdempotent && !attempt->isKeyed)
+        entry.retention = std::min<duration>(entry.retention, milliseconds(call.remainingMs));
     entry.objective = call.objectiveMs > 0 ? now + milliseconds(call.objectiveMs) : time_point {};
     offer(m_ledger.add(attempt->call, std::move(entry)), now, actions);
     return actions;
@@ -376,7 +384,8 @@
     }
     auto answer = *entry.answer;
     answer.id = waiter.attempt;
-    actions.push_back(reply_to_origin { waiter.instance, std::move(answer) });
+    auto const bulkDeadline = entry.call.isBulk ? std::optional(entry.deadline) : std::nullopt;
+    actions.push_back(reply_to_origin { waiter.instance, std::move(answer), bulkDeadline });
 }
 
 std::uint32_t call_server::loadOf(std::string const& target, time_point now) const
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -32,6 +32,8 @@
     // A call is refused when its expected completion time is later than its deadline minus this margin.
     milliseconds deadlineMargin { 5 };
     std::uint32_t hopLimit { 8 };
+    // Bandwidth of the VM's own link; 0 if it is not known.
+    std::uint32_t linkMbps { 0 };
     // Queue limit per slot for targets whose service configures none.
     std::uint32_t queuedPerSlot { 2 };
     // The fence and the attempt numbers of an originating daemon's instance are dropped after this time without frames.
@@ -64,6 +66,8 @@
 struct reply_to_origin {
     std::uint64_t instance { 0 };
     message content;
+    // Set for an answer that may be large and late: when it is of no use any more.
+    std::optional<time_point> bulkDeadline {};
     bool operator==(reply_to_origin const&) const = default;
 };
 // Asks the owner to find out whether the target still accepts connections, and to call didCheckTarget().
@@ -137,6 +141,10 @@
     std::size_t queued() const;
     // Number of calls that are running, queued, or have an unacknowledged answer; a planned stop waits until it is 0.
     std::size_t unsettled() const;
+    // How many bytes wait on the VM's links with other daemons, before the next call arrives.
+    void setLinkBacklog(std::size_t bytes) { m_linkBacklog = bytes; }
+    // Bulk calls refused because the VM's link could not send their answers in time.
+    std::uint64_t linkRefusals() const { return m_linkRefusals; }
     std::map<std::string, target_load> loads(time_point now) const;
 
 private:
@@ -166,9 +174,18 @@
     call_status statusOf(call_origin const&, std::string const& attempt, time_point now);
     std::uint32_t loadOf(std::string const& target, time_point now) const;
     std::uint32_t serviceUsOf(call_request const&) const;
+    void learnAnswerSize(call_request const&, call_answer const&);
+    // Expected size of the answer to a bulk call of the kind; 0 until one has been seen.
+    std::size_t expectedAnswerBytes(std::string const& kind) const;
+    // If the VM's link cannot send the answer of a bulk call in time, by how much too late it would be.
+    std::optional<milliseconds> linkShortFor(call_origin const&, call_request const&) const;
 
     call_server_settings m_settings;
     call_ledger m_ledger;
+    std::size_t m_linkBacklog { 0 };
+    std::uint64_t m_linkRefusals { 0 };
+    // Of the answers to bulk calls, by kind.
+    std::map<std::string, double> m_meanAnswerBytes;
     std::shared_ptr<crashing_requests> m_crashing;
     target_trials m_trials;
     // Targets that are being checked.
--- a/Libraries/LibCalls/call_server_runs.cpp
+++ b/Libraries/LibCalls/call_server_runs.cpp
@@ -35,6 +35,7 @@
     answer.loadPermille = loadOf(call.target, now);
     answer.serviceUs = serviceUsOf(call);
     answer.version = m_version;
+    learnAnswerSize(call, answer);
     m_ledger.finish(id, std::move(answer), now);
     for (auto const& waiter : entry->waiters)
         reply(*entry, waiter, now, actions);
--- a/Libraries/LibLoop/byte_stream.cpp
+++ b/Libraries/LibLoop/byte_stream.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -73,6 +75,12 @@
         m_loop.requestFlush(*this);
 }
 
+void byte_stream::limitKernelBuffer(int bytes)
+{
+    if (m_socket.isValid())
+        setsockopt(m_socket.number(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof bytes);
+}
+
 void byte_stream::pauseReading()
 {
     m_isReading = false;
@@ -164,6 +172,7 @@
     }
     if (!m_isConnected)
         return;
+    bool const hadUnsent = unsentBytes() > 0;
     while (unsentBytes() > 0) {
         auto const& first = m_unsent.front();
         // MSG_MORE keeps a header and the body after it in one segment.
@@ -182,6 +191,8 @@
     if (unsentBytes() == 0 && m_isFinishing)
         shutdown(m_socket.number(), SHUT_WR);
     updateWatch();
+    if (hadUnsent && unsentBytes() == 0)
+        m_listener.didWriteAll();
 }
 
 void byte_stream::dropWritten(std::size_t bytes)
--- a/Libraries/LibLoop/byte_stream.h
+++ b/Libraries/LibLoop/byte_stream.h
@@ -18,6 +18,8 @@
     virtual void didReceiveBytes(std::string_view) = 0;
     // The other side sends no more; it may still read.
     virtual void didReachEnd() = 0;
+    // All bytes that were to be sent have been written to the socket.
+    virtual void didWriteAll() { }
     // The connection is over or could not be opened. Nothing more follows.
     virtual void didFail(error) = 0;
 };
@@ -37,6 +39,9 @@
     // are kept as they are given, without a copy, and freed when they are written.
     void send(std::string bytes);
     std::size_t unsentBytes() const { return m_unsentBytes; }
+    // From now on the kernel takes bytes only while less than this waits unsent in its buffer. What is given later in
+    // time can then still go first.
+    void limitKernelBuffer(int bytes);
     bool isConnected() const { return m_isConnected; }
     void pauseReading();
     void resumeReading();
--- a/Libraries/LibNet/frame_reader.cpp
+++ b/Libraries/LibNet/frame_reader.cpp
@@ -44,6 +44,7 @@
 {
     if (m_isOversized || waiting() < framePrefixBytes)
         return {};
+    m_isPart = announcesPart();
     std::size_t const size = announcedBytes();
     if (size > m_maximumFrameBytes) {
         m_isOversized = true;
@@ -70,7 +71,15 @@
     std::size_t size = 0;
     for (std::size_t i = 0; i < framePrefixBytes; ++i)
         size |= static_cast<std::size_t>(static_cast<unsigned char>(m_buffer[m_read + i])) << (bitsPerByte * i);
-    return size;
+    // Where no parts may come, the flag makes the size one that is not allowed.
+    return m_allowed == content::Parts ? size & ~static_cast<std::size_t>(partFlag) : size;
+}
+
+bool frame_reader::announcesPart() const
+{
+    constexpr unsigned char flag = 0x80;
+    return m_allowed == content::Parts
+        && (static_cast<unsigned char>(m_buffer[m_read + framePrefixBytes - 1]) & flag) != 0;
 }
 
 } // namespace merlinpier
--- a/Libraries/LibNet/transport.h
+++ b/Libraries/LibNet/transport.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <LibCore/result.h>
+#include <LibCore/time.h>
 #include <LibNet/endpoint.h>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace merlinpier {
 
@@ -21,10 +23,22 @@
     virtual void didConnect(connection_id) = 0;
     // One whole frame, without its length prefix.
     virtual void didReceiveFrame(connection_id, std::string frame) = 0;
+    // A part of a large frame that is not whole yet: the peer is not silent.
+    virtual void didReceivePart(connection_id) { }
     // The connection is over, or could not be opened (Unavailable). Nothing more follows for it.
     virtual void didClose(connection_id, error reason) = 0;
 };
 
+// How a large frame that may come late is sent.
+struct bulk_frame {
+    // Names the frame for withdraw().
+    std::string label;
+    // When the frame is of no use any more.
+    time_point deadline { time_point::max() };
+
+    bool operator==(bulk_frame const&) const = default;
+};
+
 // Limits of a transport.
 struct transport_settings {
     endpoint listenOn;
@@ -40,6 +54,14 @@
     std::uint64_t bytesReceived { 0 };
     std::uint64_t connectionsOpen { 0 };
     std::uint64_t connectionsAccepted { 0 };
+    // Of the bytes sent, those of frames sent by sendBulk().
+    std::uint64_t bulkBytesSent { 0 };
+    // Bytes of frames that wait to be written: those sent by sendBulk() in parts, and all others.
+    std::uint64_t bulkBytesWaiting { 0 };
+    std::uint64_t bytesWaiting { 0 };
+    std::uint64_t partsSent { 0 };
+    // Frames dropped at their deadline, before they were sent whole.
+    std::uint64_t bulkFramesExpired { 0 };
 
     bool operator==(transport_totals const&) const = default;
 };
@@ -57,6 +79,13 @@
     virtual connection_id connect(endpoint const&) = 0;
     // Queues a frame, in order; ignored if the connection is over. Writes from the calling thread when nothing waits.
     virtual void send(connection_id, std::string frame) = 0;
+    // The peer takes parts of frames on this connection, so that sendBulk() may send such.
+    virtual void allowParts(connection_id) { }
+    // Queues a frame that may be large: if it is, and the peer takes parts, it goes in parts behind whatever is sent
+    // otherwise. Frames of this kind are delivered in any order.
+    virtual void sendBulk(connection_id id, std::string frame, bulk_frame) { send(id, std::move(frame)); }
+    // Drops a frame sent by sendBulk() as far as it has not been sent.
+    virtual void withdraw(connection_id, std::string const& /*label*/) { }
     // Closes without sending what waits; didClose follows.
     virtual void close(connection_id) = 0;
     virtual transport_totals totals() const = 0;
--- a/Libraries/LibRouting/routing_snapshot.cpp
+++ b/Libraries/LibRouting/routing_snapshot.cpp
@@ -131,7 +131,7 @@
     for (auto const& [licence, holder] : highestClaims(membership)) {
         auto const& [member, target] = holder;
         route_target const route { target->id, member->vm, member->zone, member->address, member->instance,
-            target->slots };
+            target->slots, member->linkMbps };
         bool const isReady = isRoutable(*member, *target, configuration);
         if (isReady && !departed.contains(*target))
             snapshot->m_services[target->service].targets.push_back(route);
--- a/Libraries/LibRouting/routing_snapshot.h
+++ b/Libraries/LibRouting/routing_snapshot.h
@@ -24,6 +24,8 @@
     std::uint64_t instance { 0 };
     // How many calls the target runs at once.
     std::uint32_t slots { 0 };
+    // Bandwidth of the link of the target's VM; 0 if it is not known.
+    std::uint32_t linkMbps { 0 };
 
     bool operator==(route_target const&) const = default;
 };
--- a/Libraries/LibRouting/target_chooser.cpp
+++ b/Libraries/LibRouting/target_chooser.cpp
@@ -89,10 +89,14 @@
             otherZones.push_back(target);
     }
     auto compared = takeSample(sameZone, random);
-    std::copy_if(sameZone.begin(), sameZone.end(), std::back_inserter(compared),
-        [&](auto const* target) { return hasFreshLoadReport(*target, now); });
+    std::copy_if(sameZone.begin(), sameZone.end(), std::back_inserter(compared), [&](auto const* target) {
+        // A large answer does not pass any link if the call stays on this VM.
+        return hasFreshLoadReport(*target, now) || (demand.isBulk && target->vm == m_settings.vm);
+    });
     auto const isSafe = [&](route_target const* target) {
-        double const finish = std::chrono::duration<double>(expectedFinish(*target, demand.kind, now)).count();
+        double const finish
+            = std::chrono::duration<double>(expectedFinish(*target, demand.kind, now) + transferTime(*target, demand))
+                  .count();
         return finish <= safeObjectiveShare * std::chrono::duration<double>(demand.objective).count();
     };
     if (std::none_of(compared.begin(), compared.end(), isSafe)) {
@@ -164,7 +168,9 @@
 
 double target_chooser::cost(route_target const& target, call_demand const& demand, time_point now) const
 {
-    double const finish = std::chrono::duration<double>(expectedFinish(target, demand.kind, now)).count();
+    double const finish
+        = std::chrono::duration<double>(expectedFinish(target, demand.kind, now) + transferTime(target, demand))
+              .count();
     double const objective = std::max(std::chrono::duration<double>(demand.objective).count(), 0.001);
     double const share = finish / objective;
     double const lateness
--- a/Libraries/LibRouting/target_chooser.h
+++ b/Libraries/LibRouting/target_chooser.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/generator.h>
 #include <LibCore/time.h>
+#include <LibRouting/link_load.h>
 #include <LibRouting/routing_snapshot.h>
 #include <LibRouting/target_observation.h>
 #include <map>
@@ -26,6 +27,8 @@
     std::size_t bytes { 0 };
     // Size of the request's body, which is transferred for nothing if the target refuses the call.
     std::size_t requestBytes { 0 };
+    // Whether the answer is large, so that the link of the target's VM counts like its slots.
+    bool isBulk { false };
 
     bool operator==(call_demand const&) const = default;
 };
@@ -53,6 +56,8 @@
     // of each kilobyte transferred between availability zones.
     double latenessCost { 0.6 };
     double crossZoneCostPerKilobyte { 0.14 };
+    // The VM of this daemon, on which answers pass no link.
+    std::string vm {};
 };
 
 // Whether a call with an idempotency key may leave the first target of its rendezvous order. Strict never leaves it,
@@ -95,6 +100,11 @@
     bool isAboveSpillover(route_target const&, time_point now) const;
     // Records that an attempt was sent to the target.
     void didSend(std::string const& target, time_point now);
+    // Records that a bulk call was sent to the target, or that it has ended, by the expected size of its answer.
+    void didSendBulk(route_target const&, std::size_t bytes);
+    void didEndBulk(route_target const&, std::size_t bytes);
+    // Expected bytes of bulk answers under way on the link of the VM with that address, of this daemon's own calls.
+    std::size_t bulkBytesUnderWay(std::string const& address) const;
     // Records that an attempt has ended, with the target's load in thousandths of its slots if the answer reported it.
     void didEnd(std::string const& target, attempt_outcome, std::optional<std::uint32_t> loadPermille, time_point now);
     // Records that the target's daemon refused a call of the kind for overload. Call didEnd() with the load first.
@@ -128,6 +138,8 @@
     load_refusal const* expectedRefusal(route_target const&, call_demand const&, time_point now) const;
     // The cost of running the call at the target, as a fraction of the value of a call that ends in time.
     double cost(route_target const&, call_demand const&, time_point now) const;
+    // How long the answer of a bulk call takes on the link of the target's VM, behind those under way; zero for others.
+    duration transferTime(route_target const&, call_demand const&) const;
     duration meanServiceTime(std::string const& kind) const;
     void recordFailure(target_observation&, time_point now) const;
 
@@ -135,6 +147,8 @@
     std::map<std::string, target_observation> m_observations;
     // Service times over all targets, used for a target that has not reported any for a kind of call.
     service_times m_serviceTimes;
+    // The links on which answers to this daemon's bulk calls are under way, by the VM's address.
+    std::map<std::string, link_load> m_links;
 };
 
 } // namespace merlinpier
--- a/Libraries/LibWire/frames_generated.h
+++ b/Libraries/LibWire/frames_generated.h
@@ -1380,7 +1380,8 @@
     VT_ZONE = 8,
     VT_ADDRESS = 10,
     VT_INSTANCE = 12,
-    VT_GENERATION = 14
+    VT_GENERATION = 14,
+    VT_TAKES_PARTS = 16
   };
   merlinpier::wire::ConnectionPurpose purpose() const {
     return static_cast<merlinpier::wire::ConnectionPurpose>(GetField<uint8_t>(VT_PURPOSE, 0));
@@ -1400,6 +1401,9 @@
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
   }
+  bool takes_parts() const {
+    return GetField<uint8_t>(VT_TAKES_PARTS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PURPOSE, 1) &&
@@ -1411,6 +1415,7 @@
            verifier.VerifyString(address()) &&
            VerifyField<uint64_t>(verifier, VT_INSTANCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_TAKES_PARTS, 1) &&
            verifier.EndTable();
   }
 };
@@ -1437,6 +1442,9 @@
   void add_generation(uint64_t generation) {
     fbb_.AddElement<uint64_t>(Hello::VT_GENERATION, generation, 0);
   }
+  void add_takes_parts(bool takes_parts) {
+    fbb_.AddElement<uint8_t>(Hello::VT_TAKES_PARTS, static_cast<uint8_t>(takes_parts), 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1455,13 +1463,15 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint64_t instance = 0,
-    uint64_t generation = 0) {
+    uint64_t generation = 0,
+    bool takes_parts = false) {
   HelloBuilder builder_(_fbb);
   builder_.add_generation(generation);
   builder_.add_instance(instance);
   builder_.add_address(address);
   builder_.add_zone(zone);
   builder_.add_vm(vm);
+  builder_.add_takes_parts(takes_parts);
   builder_.add_purpose(purpose);
   return builder_.Finish();
 }
@@ -1473,7 +1483,8 @@
     const char *zone = nullptr,
     const char *address = nullptr,
     uint64_t instance = 0,
-    uint64_t generation = 0) {
+    uint64_t generation = 0,
+    bool takes_parts = false) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -1484,7 +1495,8 @@
       zone__,
       address__,
       instance,
-      generation);
+      generation,
+      takes_parts);
 }
 
 struct HelloAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1492,7 +1504,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VM = 4,
     VT_INSTANCE = 6,
-    VT_GENERATION = 8
+    VT_GENERATION = 8,
+    VT_TAKES_PARTS = 10
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -1503,12 +1516,16 @@
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
   }
+  bool takes_parts() const {
+    return GetField<uint8_t>(VT_TAKES_PARTS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
            verifier.VerifyString(vm()) &&
            VerifyField<uint64_t>(verifier, VT_INSTANCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_TAKES_PARTS, 1) &&
            verifier.EndTable();
   }
 };
@@ -1526,6 +1543,9 @@
   void add_generation(uint64_t generation) {
     fbb_.AddElement<uint64_t>(HelloAnswer::VT_GENERATION, generation, 0);
   }
+  void add_takes_parts(bool takes_parts) {
+    fbb_.AddElement<uint8_t>(HelloAnswer::VT_TAKES_PARTS, static_cast<uint8_t>(takes_parts), 0);
+  }
   explicit HelloAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1541,11 +1561,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> vm = 0,
     uint64_t instance = 0,
-    uint64_t generation = 0) {
+    uint64_t generation = 0,
+    bool takes_parts = false) {
   HelloAnswerBuilder builder_(_fbb);
   builder_.add_generation(generation);
   builder_.add_instance(instance);
   builder_.add_vm(vm);
+  builder_.add_takes_parts(takes_parts);
   return builder_.Finish();
 }
 
@@ -1553,13 +1575,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *vm = nullptr,
     uint64_t instance = 0,
-    uint64_t generation = 0) {
+    uint64_t generation = 0,
+    bool takes_parts = false) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   return merlinpier::wire::CreateHelloAnswer(
       _fbb,
       vm__,
       instance,
-      generation);
+      generation,
+      takes_parts);
 }
 
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibWire/link_messages.h
+++ b/Libraries/LibWire/link_messages.h
@@ -18,6 +18,8 @@
     std::uint64_t instance { 0 };
     // Rises with each connection of the purpose from this instance to the same peer.
     std::uint64_t generation { 0 };
+    // Whether the sender takes large frames in parts.
+    bool takesParts { false };
 
     bool operator==(hello const&) const = default;
 };
@@ -28,6 +30,8 @@
     std::string vm;
     std::uint64_t instance { 0 };
     std::uint64_t generation { 0 };
+    // Whether the sender takes large frames in parts.
+    bool takesParts { false };
 
     bool operator==(hello_answer const&) const = default;
 };
--- a/Services/Daemon/daemon_settings.cpp
+++ b/Services/Daemon/daemon_settings.cpp
@@ -50,6 +50,7 @@
 void readCalls(settings_reader& reader, daemon_settings& settings)
 {
     settings.chooser.zone = settings.zone;
+    settings.chooser.vm = settings.vm;
     if (reader.choice("choice", { "least_loaded_of_two", "random" }, "least_loaded_of_two") == "random")
         settings.chooser.policy = choice_policy::Random;
     if (reader.choice("admission", { "slots_and_queue", "unlimited" }, "slots_and_queue") == "unlimited")
--- a/Services/Daemon/peer_hub.cpp
+++ b/Services/Daemon/peer_hub.cpp
@@ -205,8 +205,32 @@
         sendOn(found->second, content);
 }
 
+void peer_hub::sendBulkToOrigin(std::uint64_t instance, call_answer const& answer, time_point deadline)
+{
+    if (instance == m_identity.instance) {
+        deliverToSelf(answer, true);
+        return;
+    }
+    if (auto const found = m_acceptedCalls.find(instance); found != m_acceptedCalls.end())
+        m_transport->sendBulk(found->second, encodeMessage(answer), { answer.id, deadline });
+}
+
+void peer_hub::withdrawFromOrigin(std::uint64_t instance, std::string const& callId)
+{
+    if (auto const found = m_acceptedCalls.find(instance); found != m_acceptedCalls.end())
+        m_transport->withdraw(found->second, callId);
+}
+
 transport_totals peer_hub::totals() const { return m_transport->totals(); }
 
+std::size_t peer_hub::waitingBytes() const
+{
+    if (!m_transport)
+        return 0;
+    auto const now = totals();
+    return now.bytesWaiting + now.bulkBytesWaiting;
+}
+
 void peer_hub::didAccept(connection_id id, endpoint const&) { m_connections[id].way = direction::Accepted; }
 
 void peer_hub::didConnect(connection_id id)
@@ -220,7 +244,8 @@
         .zone = m_identity.zone,
         .address = m_identity.address,
         .instance = m_identity.instance,
-        .generation = known.generation };
+        .generation = known.generation,
+        .takesParts = true };
     sendOn(id, greeting);
 }
 
@@ -250,6 +275,16 @@
     didReceiveFromPeer(id, *known, decoded.releaseValue());
 }
 
+void peer_hub::didReceivePart(connection_id id)
+{
+    auto const known = find(id);
+    if (!known)
+        return;
+    m_acceptedControlLinks.didReceive(id);
+    if (known->way == direction::Opened)
+        table(known->purpose).didReceive(id, currentTime());
+}
+
 std::optional<peer_hub::connection> peer_hub::find(connection_id id)
 {
     auto const found = m_connections.find(id);
@@ -271,6 +306,8 @@
     known.instance = greeting.instance;
     known.generation = greeting.generation;
     known.hasSaidHello = true;
+    if (greeting.takesParts && greeting.purpose == connection_purpose::Calls)
+        m_transport->allowParts(id);
     connection_id formerControl = 0;
     if (greeting.purpose == connection_purpose::Control) {
         formerControl = std::exchange(m_acceptedControl[greeting.address], id);
@@ -280,7 +317,7 @@
         if (older == m_connections.end() || older->second.generation < greeting.generation)
             newest = id;
     }
-    sendOn(id, hello_answer { m_identity.vm, m_identity.instance, greeting.generation });
+    sendOn(id, hello_answer { m_identity.vm, m_identity.instance, greeting.generation, true });
     // The peer has given up the connection that this one replaces, if there is one.
     resendControl(formerControl, greeting.address);
 }
@@ -414,6 +451,7 @@
 void peer_hub::sendControlOn(connection_id id, std::string frame)
 {
     m_controlBytes += frame.size() + framePrefixBytes;
+    m_controlBytesSent += frame.size() + framePrefixBytes;
     m_recentControl.didSend(id, frame, currentTime());
     m_transport->send(id, std::move(frame));
 }
--- a/Services/Daemon/peer_hub.h
+++ b/Services/Daemon/peer_hub.h
@@ -72,10 +72,17 @@
     void setOutstanding(std::string const& address, std::size_t count);
     // Sends on the newest connection for calls that the instance opened, if there is one.
     void sendToOrigin(std::uint64_t instance, message const&);
+    // Sends an answer that may be large and late: it gives way to all other messages on this VM's links.
+    void sendBulkToOrigin(std::uint64_t instance, call_answer const&, time_point deadline);
+    // Drops such an answer, if it has not been sent whole.
+    void withdrawFromOrigin(std::uint64_t instance, std::string const& callId);
 
     transport_totals totals() const;
+    // Bytes that wait to be written to other daemons.
+    std::size_t waitingBytes() const;
     // Bytes of control messages sent and received, frames' prefixes included.
     std::uint64_t controlBytes() const { return m_controlBytes; }
+    std::uint64_t controlBytesSent() const { return m_controlBytesSent; }
 
 private:
     enum class direction { Opened, Accepted };
@@ -92,6 +99,7 @@
     void didAccept(connection_id, endpoint const&) override;
     void didConnect(connection_id) override;
     void didReceiveFrame(connection_id, std::string) override;
+    void didReceivePart(connection_id) override;
     void didClose(connection_id, error) override;
 
     link_table& table(connection_purpose purpose);
@@ -126,6 +134,7 @@
     std::map<std::string, std::deque<std::string>> m_waitingControl;
     std::map<std::string, std::deque<call_request>> m_waitingCalls;
     std::uint64_t m_controlBytes { 0 };
+    std::uint64_t m_controlBytesSent { 0 };
     time_point m_nextExpiry {};
     std::unique_ptr<transport> m_transport;
     event_loop* m_loop { nullptr };
--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -116,7 +116,10 @@
 {
     auto const totals = owner.hub().totals();
     return { { "bytes_sent", totals.bytesSent }, { "bytes_received", totals.bytesReceived },
-        { "connections_open", totals.connectionsOpen }, { "connections_accepted", totals.connectionsAccepted },
+        { "bulk_bytes_sent", totals.bulkBytesSent }, { "bytes_waiting", totals.bytesWaiting },
+        { "bulk_bytes_waiting", totals.bulkBytesWaiting }, { "parts_sent", totals.partsSent },
+        { "bulk_frames_expired", totals.bulkFramesExpired }, { "connections_open", totals.connectionsOpen },
+        { "connections_accepted", totals.connectionsAccepted }, { "link_refusals", owner.targets().linkRefusals() },
         { "control_bytes", owner.hub().controlBytes() } };
 }
 
@@ -155,6 +158,14 @@
     figures.setGauge("merlinpier_highest_known_version", static_cast<double>(summary.highestKnown));
     figures.setGauge("merlinpier_peer_bytes_sent", static_cast<double>(totals.bytesSent));
     figures.setGauge("merlinpier_peer_bytes_received", static_cast<double>(totals.bytesReceived));
+    auto const control = owner.hub().controlBytesSent();
+    auto const bulk = totals.bulkBytesSent;
+    figures.setGauge("merlinpier_sent_bytes{class=\"control\"}", static_cast<double>(control));
+    figures.setGauge("merlinpier_sent_bytes{class=\"bulk\"}", static_cast<double>(bulk));
+    figures.setGauge("merlinpier_waiting_bytes{class=\"bulk\"}", static_cast<double>(totals.bulkBytesWaiting));
+    figures.setGauge("merlinpier_waiting_bytes{class=\"other\"}", static_cast<double>(totals.bytesWaiting));
+    figures.setGauge("merlinpier_bulk_frames_expired", static_cast<double>(totals.bulkFramesExpired));
+    figures.setGauge("merlinpier_link_refusals", static_cast<double>(owner.targets().linkRefusals()));
     figures.setGauge("merlinpier_control_bytes", static_cast<double>(owner.hub().controlBytes()));
     figures.setGauge("merlinpier_peer_connections", static_cast<double>(totals.connectionsOpen));
     figures.setGauge("merlinpier_retries", static_cast<double>(owner.calls().totals().retries));
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -141,16 +141,32 @@
 {
     call_origin const origin { instance, generation };
     auto const now = currentTime();
-    if (auto const* call = std::get_if<call_request>(&content))
-        carryOut(m_server.didReceiveCall(origin, *call, m_targets, *m_configuration, now));
-    else if (auto const* cancelled = std::get_if<call_cancel>(&content))
+    if (auto const* call = std::get_if<call_request>(&content)) {
+        receiveCall(origin, *call, now);
+    } else if (auto const* cancelled = std::get_if<call_cancel>(&content)) {
+        m_hub.withdrawFromOrigin(instance, cancelled->id);
         carryOut(m_server.didReceiveCancel(origin, *cancelled, now));
-    else if (auto const* acknowledged = std::get_if<call_acknowledge>(&content))
+    } else if (auto const* acknowledged = std::get_if<call_acknowledge>(&content))
         m_server.didReceiveAcknowledge(origin, *acknowledged);
     else if (auto const* query = std::get_if<call_query>(&content))
         carryOut(m_server.didReceiveQuery(origin, *query, now));
 }
 
+void target_gateway::receiveCall(call_origin const& origin, call_request const& call, time_point now)
+{
+    auto const before = m_server.linkRefusals();
+    std::size_t backlog = 0;
+    if (call.isBulk) {
+        backlog = m_hub.waitingBytes();
+        m_server.setLinkBacklog(backlog);
+    }
+    carryOut(m_server.didReceiveCall(origin, call, m_targets, *m_configuration, now));
+    if (m_server.linkRefusals() > before)
+        logInfo("link_short",
+            { { "call", call.id }, { "waiting_bytes", static_cast<std::uint64_t>(backlog) },
+                { "remaining_ms", static_cast<std::uint64_t>(call.remainingMs) } });
+}
+
 void target_gateway::tick()
 {
     m_targets.tick(currentTime());
@@ -179,7 +195,11 @@
         } else if (auto const* reply = std::get_if<reply_to_origin>(&action)) {
             if (auto const* refused = std::get_if<call_refused>(&reply->content))
                 didRefuse(*refused);
-            m_hub.sendToOrigin(reply->instance, reply->content);
+            auto const* answer = std::get_if<call_answer>(&reply->content);
+            if (answer && reply->bulkDeadline)
+                m_hub.sendBulkToOrigin(reply->instance, *answer, *reply->bulkDeadline);
+            else
+                m_hub.sendToOrigin(reply->instance, reply->content);
         }
     }
 }
--- a/Services/Daemon/target_gateway.h
+++ b/Services/Daemon/target_gateway.h
@@ -47,8 +47,11 @@
     void didFailInnerCall() { m_server.didFailInnerCall(currentTime()); }
     double retriedShare() const { return m_server.retriedShare(); }
     std::map<std::string, target_load> loads() const;
+    // Calls refused because the VM's link could not send their answers in time.
+    std::uint64_t linkRefusals() const { return m_server.linkRefusals(); }
 
 private:
+    void receiveCall(call_origin const&, call_request const&, time_point now);
     void carryOut(std::vector<server_action>);
     void didRefuse(call_refused const&);
     void run(run_call);
--- a/Tests/LibWire/arbitrary_messages.h
+++ b/Tests/LibWire/arbitrary_messages.h
@@ -168,9 +168,9 @@
     switch (kind) {
     case 0:
         return hello { drawEnumerator(connection_purpose::Calls), drawText(), drawText(), drawText(), drawNumber(),
-            drawNumber() };
+            drawNumber(), drawBelow(2) == 1 };
     case 1:
-        return hello_answer { drawText(), drawNumber(), drawNumber() };
+        return hello_answer { drawText(), drawNumber(), drawNumber(), drawBelow(2) == 1 };
     case 2:
         return ping { drawNumber() };
     case 3:
--- a/Tests/StandIns/ByteRelay/relayed_connection.cpp
+++ b/Tests/StandIns/ByteRelay/relayed_connection.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::size_t bufferBytes = 16 * 1024;
+// What a paced connection passes on at a time, and the window that it offers: small, so that connections take turns.
+constexpr std::size_t pacedBytes = 4 * 1024;
+constexpr int pacedWindowBytes = 32 * 1024;
 
 void makeBlocking(descriptor const& socket)
 {
@@ -34,14 +37,18 @@
 
 } // namespace
 
-relayed_connection::relayed_connection(
-    descriptor near, descriptor far, std::string from, relay_mode mode, milliseconds delay)
+relayed_connection::relayed_connection(descriptor near, descriptor far, std::string from, relay_mode mode,
+    milliseconds delay, std::shared_ptr<link_pace> pace)
     : m_near(std::move(near))
     , m_far(std::move(far))
     , m_from(std::move(from))
+    , m_pace(std::move(pace))
     , m_mode(mode)
     , m_delayMs(delay.count())
 {
+    // The window of a slow link, not that of the loopback interface.
+    if (m_pace->isLimited())
+        setsockopt(m_far.number(), SOL_SOCKET, SO_RCVBUF, &pacedWindowBytes, sizeof pacedWindowBytes);
     makeBlocking(m_near);
     makeBlocking(m_far);
     m_forward = std::thread([this] { copy(m_near, m_far, direction::Forward); });
@@ -69,9 +76,12 @@
 {
     std::array<char, bufferBytes> buffer {};
     while (true) {
-        ssize_t const count = recv(source.number(), buffer.data(), buffer.size(), 0);
+        bool const isPaced = way == direction::Back && m_pace->isLimited();
+        ssize_t const count = recv(source.number(), buffer.data(), isPaced ? pacedBytes : buffer.size(), 0);
         if (count <= 0)
             break;
+        if (isPaced)
+            m_pace->pass(static_cast<std::size_t>(count));
         if (m_mode == relay_mode::Delay)
             std::this_thread::sleep_for(milliseconds(m_delayMs));
         if (drops(way))
--- a/Tests/StandIns/ByteRelay/relayed_connection.h
+++ b/Tests/StandIns/ByteRelay/relayed_connection.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <LibNet/socket.h>
+#include <Tests/StandIns/ByteRelay/link_pace.h>
 #include <Tests/StandIns/ByteRelay/relay_mode.h>
 #include <atomic>
+#include <memory>
 #include <thread>
 
 namespace merlinpier {
@@ -10,7 +12,8 @@
 // One connection through a relay, with a thread for each direction.
 class relayed_connection {
 public:
-    relayed_connection(descriptor near, descriptor far, std::string from, relay_mode, milliseconds delay);
+    relayed_connection(
+        descriptor near, descriptor far, std::string from, relay_mode, milliseconds delay, std::shared_ptr<link_pace>);
     ~relayed_connection();
 
     // A connection that went silent stays so: the bytes dropped meanwhile are missing from its stream.
@@ -28,6 +31,7 @@
     descriptor m_near;
     descriptor m_far;
     std::string m_from;
+    std::shared_ptr<link_pace> m_pace;
     std::atomic<relay_mode> m_mode;
     std::atomic<std::int64_t> m_delayMs;
     std::atomic<int> m_finishedDirections { 0 };
