LibHttp: Keep libcurl and what it brings out of the daemon

The daemon has its own HTTP client and server, but the default of http_client::checkListener() lay beside the one over libcurl, so libcurl, GnuTLS, Kerberos and others were loaded into it.

--- a/Libraries/LibHttp/http_client.cpp
+++ b/Libraries/LibHttp/http_client.cpp
@@ -179,11 +179,6 @@
     return std::make_unique<curl_client>();
 }
 
-void http_client::checkListener(std::string const&, milliseconds, listener_callback callback)
-{
-    callback(listener_state::Unknown);
-}
-
 result<http_response> sendAndWait(http_client& client, http_client_request request)
 {
     mutex guard(lock_rank::Leaf);
