--- a/Libraries/LibCalls/call_attempt.h
+++ b/Libraries/LibCalls/call_attempt.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/time.h>
 #include <LibRouting/routing_snapshot.h>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
     bool isProbe { false };
     // Whether it was sent to a new version within the share that a rollout grants.
     bool isCanary { false };
+    // Expected size of the answer if it is large and passes the link of the target's VM.
+    std::size_t bulkBytes { 0 };
 
     bool operator==(call_attempt const&) const = default;
 };
--- a/Libraries/LibRouting/routing_snapshot.cpp
+++ b/Libraries/LibRouting/routing_snapshot.cpp
@@ -131,7 +131,7 @@
     for (auto const& [licence, holder] : highestClaims(membership)) {
         auto const& [member, target] = holder;
         route_target const route { target->id, member->vm, member->zone, member->address, member->instance,
-            target->slots, target->version };
+            target->slots, target->version, member->linkMbps };
         auto const access = accessOf(rules, target->service, target->version);
         bool const isReady = isRoutable(*member, *target, configuration);
         if (isReady && !departed.contains(*target) && access == version_access::Held)
--- a/Libraries/LibRouting/routing_snapshot.h
+++ b/Libraries/LibRouting/routing_snapshot.h
@@ -27,6 +27,8 @@
     std::uint32_t slots { 0 };
     // Version of the target's software; empty if it is not known.
     std::string version {};
+    // Bandwidth of the link of the target's VM; 0 if it is not known.
+    std::uint32_t linkMbps { 0 };
 
     bool operator==(route_target const&) const = default;
 };
