--- a/Libraries/LibCalls/admission_queue.h
+++ b/Libraries/LibCalls/admission_queue.h
@@ -155,6 +155,8 @@
     // Estimated mean service time; zero before the first call of the kind or class has ended.
     duration serviceTime(std::string const& kind, call_class) const;
     service_order_totals const& orderTotals() const { return m_orderTotals; }
+    // What was offered lately; empty unless the service order is in force.
+    offered_work const& offeredWork() const { return m_offered; }
 
 private:
     struct running_call {
--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -321,16 +321,10 @@
     queue.setLimits({ slots, queueLimit, m_settings.deadlineMargin, isUnlimited });
     bool const isAutomatic = m_settings.order == order_choice::Automatic;
     if (m_settings.order == order_choice::Value || (isAutomatic && !call.tenant.empty()))
-        queue.setOrder(admission_order::ServiceOrder);
+        useServiceOrder(call.target);
     return queue;
 }
 
-void call_server::didAnnouncePace(std::string const& target)
-{
-    if (m_settings.order == order_choice::Automatic)
-        m_queues[target].setOrder(admission_order::ServiceOrder);
-}
-
 void call_server::refuse(call_waiter const& waiter, call_request const& call, refusal_reason reason,
     milliseconds retryAfter, time_point now, std::vector<server_action>& actions)
 {
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -88,8 +89,10 @@
     // The limit on requests that the target has announced, in requests a second.
     std::optional<double> requestLimit;
     admission_order order { admission_order::ObjectiveFirst };
-    // Decisions of the service order at this target.
+    // With the service order: its decisions, the offered work by rank, and the tenants whose calls come after others.
     service_order_totals orderTotals;
+    std::vector<rank_load> rankLoads;
+    std::vector<std::string> tenantsBeyondShare;
 
     bool operator==(target_load const&) const = default;
 };
@@ -129,6 +132,8 @@
         std::string const& target, std::optional<double> requestsPerSecond, time_point now);
     // The target announced its pace in an answer.
     void didAnnouncePace(std::string const& target);
+    // Returns the targets for which the service order has come into force since the last call, for the log.
+    std::vector<std::string> takeNewlyOrdered() { return std::exchange(m_newlyOrdered, {}); }
     // A call that a target of this VM made has failed; a run that reports a failure soon after has failed because of
     // it.
     void didFailInnerCall(time_point now) { m_lastInnerFailure = now; }
@@ -145,11 +150,14 @@
     // Number of calls that are running, queued, or have an unacknowledged answer; a planned stop waits until it is 0.
     std::size_t unsettled() const;
     std::map<std::string, target_load> loads(time_point now) const;
+    // What the target's queue would decide about the call; nothing if the target has had no call here.
+    std::optional<admission_outlook> outlook(std::string const& target, admission_request const&, time_point now) const;
 
 private:
     // Retry-after time of refusals that are not caused by load: routes are usually updated by then.
     static constexpr milliseconds retryAfterRouteChange { 100 };
 
+    void useServiceOrder(std::string const& target);
     static admission_request admissionRequest(call_request const&, time_point deadline, time_point objective);
     admission_queue& queueOf(call_request const&, service_configuration const&, target_announcement const&);
     bool wasAdmitted(call_waiter const&, attempt_identifier const&, time_point now);
@@ -183,6 +191,7 @@
     std::set<std::string> m_checked;
     generation_fence m_fence;
     std::map<std::string, admission_queue> m_queues;
+    std::vector<std::string> m_newlyOrdered;
     std::uint64_t m_version { 0 };
     std::optional<time_point> m_lastInnerFailure;
 };
--- a/Libraries/LibCalls/call_server_runs.cpp
+++ b/Libraries/LibCalls/call_server_runs.cpp
@@ -144,12 +144,6 @@
     apply(m_queues[call.target].offer(admissionRequest(call, entry.deadline, entry.objective), now), now, actions);
 }
 
-admission_request call_server::admissionRequest(call_request const& call, time_point deadline, time_point objective)
-{
-    return { call.id, call.callClass, deadline, call.entryPoint, call.priority, objective, call.isLate, call.tenant,
-        call.tenantPriority, call.isRetry };
-}
-
 void call_server::continueTrials(time_point now, std::vector<server_action>& actions)
 {
     for (auto const& id : m_trials.waiting()) {
--- a/Libraries/LibCalls/offered_work.cpp
+++ b/Libraries/LibCalls/offered_work.cpp
@@ -56,6 +56,16 @@
         && work.started * m_allTenants.offered >= leastServedRatio * work.offered * m_allTenants.started;
 }
 
+std::vector<std::string> offered_work::tenantsBeyondShare() const
+{
+    std::vector<std::string> tenants;
+    for (auto const& [tenant, work] : m_tenants) {
+        if (isBeyondShare(tenant))
+            tenants.push_back(tenant);
+    }
+    return tenants;
+}
+
 std::vector<rank_load> offered_work::loads(std::uint32_t slots) const
 {
     std::vector<rank_load> loads;
--- a/Libraries/LibCalls/offered_work.h
+++ b/Libraries/LibCalls/offered_work.h
@@ -22,6 +22,8 @@
     bool isBeyondShare(std::string const& tenant) const;
     // The offered work of each rank, as a share of the slots.
     std::vector<rank_load> loads(std::uint32_t slots) const;
+    // The tenants whose calls come after those of others now.
+    std::vector<std::string> tenantsBeyondShare() const;
     // Whether returned calls got less than their share of the slots.
     bool mayFavourReturned() const;
 
--- a/Libraries/LibCalls/service_order.h
+++ b/Libraries/LibCalls/service_order.h
@@ -13,6 +13,12 @@
 // ServiceOrder: by class service_order.
 enum class admission_order { ObjectiveFirst, ServiceOrder };
 
+// The name of the order in the state dump and in log lines.
+inline char const* orderName(admission_order order)
+{
+    return order == admission_order::ServiceOrder ? "value" : "deadline";
+}
+
 // Which order the targets of a daemon get. Automatic: the service order once a call names a tenant or the target
 // announces its pace, otherwise the objective first.
 enum class order_choice { Automatic, Value, Deadline };
--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -60,14 +60,30 @@
         { "suspects", owner.membership().suspects() }, { "members", members } };
 }
 
+// The part of a target's load that concerns the order of waiting calls.
+nlohmann::json orderJson(target_load const& load)
+{
+    nlohmann::json ranks = nlohmann::json::array();
+    for (auto const& item : load.rankLoads) {
+        ranks.push_back({ { "report", item.rank.isReport }, { "tenant_priority", item.rank.tenantPriority },
+            { "priority", item.rank.priority }, { "offered_share", item.share } });
+    }
+    auto const& totals = load.orderTotals;
+    return { { "order", orderName(load.order) }, { "ranks", ranks },
+        { "tenants_beyond_share", load.tenantsBeyondShare }, { "refused_on_arrival", totals.refusedOnArrival },
+        { "displaced", totals.displaced }, { "invited_back", totals.invitedBack },
+        { "returned_offered", totals.returnedOffered }, { "returned_started", totals.returnedStarted },
+        { "started_by_minimum_share", totals.startedByMinimumShare } };
+}
+
 nlohmann::json callsJson(daemon& owner)
 {
     auto const totals = owner.calls().totals();
     nlohmann::json targets = nlohmann::json::array();
     for (auto const& [id, load] : owner.targets().loads())
-        targets.push_back(
-            { { "id", id }, { "slots", load.slots }, { "running", load.running }, { "queued", load.queued },
-                { "load_permille", load.loadPermille }, { "request_limit", limitJson(load.requestLimit) } });
+        targets.push_back({ { "id", id }, { "slots", load.slots }, { "running", load.running },
+            { "queued", load.queued }, { "load_permille", load.loadPermille },
+            { "request_limit", limitJson(load.requestLimit) }, { "service_order", orderJson(load) } });
     return { { "calls", totals.calls }, { "answered", totals.answered }, { "not_run", totals.notRun },
         { "unknown", totals.unknown }, { "retries", totals.retries }, { "queries", totals.queries },
         { "unsettled", owner.calls().unsettled() }, { "ejected", owner.calls().ejected() }, { "own_targets", targets },
@@ -120,6 +136,26 @@
         { "control_bytes", owner.hub().controlBytes() } };
 }
 
+// The number of ranks is that of the configured priorities; only ranks with load are shown.
+void setOrderGauges(metrics& figures, std::string const& target, target_load const& load)
+{
+    bool const isInForce = load.order == admission_order::ServiceOrder;
+    auto const set = [&](char const* name, double value) {
+        figures.setGauge("merlinpier_service_order" + std::string(name) + "{target=\"" + target + "\"}", value);
+    };
+    set("", isInForce);
+    if (!isInForce)
+        return;
+    auto const& totals = load.orderTotals;
+    set("_refused_on_arrival", static_cast<double>(totals.refusedOnArrival));
+    set("_displaced", static_cast<double>(totals.displaced));
+    set("_invited_back", static_cast<double>(totals.invitedBack));
+    set("_returned_offered", static_cast<double>(totals.returnedOffered));
+    set("_returned_started", static_cast<double>(totals.returnedStarted));
+    set("_started_by_minimum_share", static_cast<double>(totals.startedByMinimumShare));
+    set("_tenants_beyond_share", static_cast<double>(load.tenantsBeyondShare.size()));
+}
+
 double residentBytes()
 {
     std::ifstream statm("/proc/self/statm");
@@ -171,6 +207,7 @@
         figures.setGauge("merlinpier_target_load_permille" + label, load.loadPermille);
         figures.setGauge("merlinpier_target_request_limit" + label,
             load.requestLimit ? std::max(*load.requestLimit, smallestShownLimit) : 0);
+        setOrderGauges(figures, id, load);
     }
     return figures.prometheusText();
 }
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -155,6 +155,8 @@
 {
     m_targets.tick(currentTime());
     carryOut(m_server.tick(currentTime()));
+    for (auto const& target : m_server.takeNewlyOrdered())
+        logInfo("service_order_in_force", { { "target", target } });
     reportChange();
 }
 
@@ -162,6 +164,12 @@
 
 std::map<std::string, target_load> target_gateway::loads() const { return m_server.loads(currentTime()); }
 
+std::optional<admission_outlook> target_gateway::outlook(
+    std::string const& target, admission_request const& request) const
+{
+    return m_server.outlook(target, request, currentTime());
+}
+
 void target_gateway::carryOut(std::vector<server_action> actions)
 {
     for (auto& action : actions) {
--- a/Services/Daemon/target_gateway.h
+++ b/Services/Daemon/target_gateway.h
@@ -47,6 +47,7 @@
     void didFailInnerCall() { m_server.didFailInnerCall(currentTime()); }
     double retriedShare() const { return m_server.retriedShare(); }
     std::map<std::string, target_load> loads() const;
+    std::optional<admission_outlook> outlook(std::string const& target, admission_request const&) const;
 
 private:
     void carryOut(std::vector<server_action>);
