--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -286,7 +286,7 @@
         return;
     queue->second.setPace({ percent, now });
     if (m_settings.order == order_choice::Automatic)
-        queue->second.setOrder(admission_order::ServiceOrder);
+        useServiceOrder(target);
 }
 
 std::vector<server_action> call_server::tick(time_point now)
@@ -345,7 +345,7 @@
     queue.setLimits({ slots, queueLimit, m_settings.deadlineMargin, isUnlimited });
     bool const isAutomatic = m_settings.order == order_choice::Automatic;
     if (m_settings.order == order_choice::Value || (isAutomatic && !call.tenant.empty()))
-        queue.setOrder(admission_order::ServiceOrder);
+        useServiceOrder(call.target);
     return queue;
 }
 
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -95,8 +96,10 @@
     // How long work takes at the target now, in percent of the usual time; 0 if the target announces no pace.
     std::uint32_t pacePercent { 0 };
     admission_order order { admission_order::ObjectiveFirst };
-    // Decisions of the service order at this target.
+    // With the service order: its decisions, the offered work by rank, and the tenants whose calls come after others.
     service_order_totals orderTotals;
+    std::vector<rank_load> rankLoads;
+    std::vector<std::string> tenantsBeyondShare;
 
     bool operator==(target_load const&) const = default;
 };
@@ -137,6 +140,8 @@
         std::string const& target, std::optional<double> requestsPerSecond, time_point now);
     // The target announced in an answer how long work takes there, in percent of the usual time.
     void didAnnouncePace(std::string const& target, std::uint32_t percent, time_point now);
+    // Returns the targets for which the service order has come into force since the last call, for the log.
+    std::vector<std::string> takeNewlyOrdered() { return std::exchange(m_newlyOrdered, {}); }
     // A call that a target of this VM made has failed; a run that reports a failure soon after has failed because of
     // it.
     void didFailInnerCall(time_point now) { m_lastInnerFailure = now; }
@@ -157,11 +162,14 @@
     // Bulk calls refused because the VM's link could not send their answers in time.
     std::uint64_t linkRefusals() const { return m_linkRefusals; }
     std::map<std::string, target_load> loads(time_point now) const;
+    // What the target's queue would decide about the call; nothing if the target has had no call here.
+    std::optional<admission_outlook> outlook(std::string const& target, admission_request const&, time_point now) const;
 
 private:
     // Retry-after time of refusals that are not caused by load: routes are usually updated by then.
     static constexpr milliseconds retryAfterRouteChange { 100 };
 
+    void useServiceOrder(std::string const& target);
     static admission_request admissionRequest(call_request const&, time_point deadline, time_point objective);
     admission_queue& queueOf(call_request const&, service_configuration const&, target_announcement const&);
     bool wasAdmitted(call_waiter const&, attempt_identifier const&, time_point now);
@@ -208,6 +216,7 @@
     std::set<std::string> m_checked;
     generation_fence m_fence;
     std::map<std::string, admission_queue> m_queues;
+    std::vector<std::string> m_newlyOrdered;
     std::uint64_t m_version { 0 };
     std::optional<time_point> m_lastInnerFailure;
 };
--- a/Libraries/LibOperator/operator_commands.cpp
+++ b/Libraries/LibOperator/operator_commands.cpp
@@ -268,6 +268,19 @@
     return print(m_client.post("/rollouts/" + percentEncoded(service) + "/abort", "", readTimeout), describeRollouts);
 }
 
+exit_code operator_commands::explain(explained_request const& request)
+{
+    std::string query = "/explain?path=" + percentEncoded(request.path) + "&method=" + percentEncoded(request.method);
+    for (auto const& [name, value] :
+        { std::pair("&host=", request.host), { "&service=", request.service }, { "&tenant=", request.tenant } }) {
+        if (!value.empty())
+            query += name + percentEncoded(value);
+    }
+    if (request.deadline)
+        query += "&deadline=" + std::to_string(request.deadline->count());
+    return print(m_client.get(query, readTimeout), describeExplanation);
+}
+
 exit_code operator_commands::dump(std::string const& vm)
 {
     return print(m_client.get("/state?vm=" + percentEncoded(vm), readTimeout), indented);
--- a/Libraries/LibOperator/text_report.h
+++ b/Libraries/LibOperator/text_report.h
@@ -24,6 +24,8 @@
 result<std::string> describeCrashingRequests(std::string_view body);
 // The rollouts that a daemon knows, from GET /rollouts.
 result<std::string> describeRollouts(std::string_view body);
+// What would become of a request, from GET /explain.
+result<std::string> describeExplanation(std::string_view body);
 // Any JSON, with indentation.
 result<std::string> indented(std::string_view body);
 
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -225,6 +225,8 @@
     m_targets.tick(currentTime());
     carryOut(m_server.tick(currentTime()));
     followRollouts();
+    for (auto const& target : m_server.takeNewlyOrdered())
+        logInfo("service_order_in_force", { { "target", target } });
     reportChange();
 }
 
@@ -237,6 +239,12 @@
 
 std::map<std::string, target_load> target_gateway::loads() const { return m_server.loads(currentTime()); }
 
+std::optional<admission_outlook> target_gateway::outlook(
+    std::string const& target, admission_request const& request) const
+{
+    return m_server.outlook(target, request, currentTime());
+}
+
 void target_gateway::carryOut(std::vector<server_action> actions)
 {
     for (auto& action : actions) {
--- a/Services/Daemon/target_gateway.h
+++ b/Services/Daemon/target_gateway.h
@@ -63,6 +63,7 @@
     std::map<std::string, target_load> loads() const;
     // Calls refused because the VM's link could not send their answers in time.
     std::uint64_t linkRefusals() const { return m_server.linkRefusals(); }
+    std::optional<admission_outlook> outlook(std::string const& target, admission_request const&) const;
 
 private:
     void receiveCall(call_origin const&, call_request const&, time_point now);
