LibRollout: Identify orders whose status somebody else wrote

A status without the daemons' own field was taken for one of the object's creation, so that an order for another version on the same object was ignored. The object's revision identifies it now, and the status is completed by the next write.

--- a/Libraries/LibRollout/rollout_controller.cpp
+++ b/Libraries/LibRollout/rollout_controller.cpp
@@ -249,7 +249,8 @@
     auto const& object = stored->second.object;
     auto const wanted = wantedState(known, membership, now);
     bool const isCurrent = object.isStatusCurrent();
-    bool const isStored = isCurrent && object.status->state == wanted;
+    // A status that somebody else has written does not name the order.
+    bool const isStored = isCurrent && object.status->state == wanted && object.status->order == known.order;
     bool const isStoredFinal = isCurrent
         && (object.status->state == rollout_state::Done || object.status->state == rollout_state::RolledBack);
     if (isStored || isStoredFinal)
--- a/Libraries/LibRollout/stored_rollout.h
+++ b/Libraries/LibRollout/stored_rollout.h
@@ -43,12 +43,7 @@
     }
     // Revision by which all daemons identify the order. Status writes raise the object's revision, so the first status
     // records the revision that the order had.
-    std::uint64_t order() const
-    {
-        if (!isStatusCurrent())
-            return revision;
-        return status->order > 0 ? status->order : createdRevision;
-    }
+    std::uint64_t order() const { return isStatusCurrent() && status->order > 0 ? status->order : revision; }
 };
 
 } // namespace merlinpier
--- a/Tests/LibRollout/rollout_state_table_test.cpp
+++ b/Tests/LibRollout/rollout_state_table_test.cpp
@@ -34,6 +34,17 @@
     EXPECT_EQ(second.find("slots")->order, 41u);
 }
 
+// Guards against an order that is ignored because an operator wrote its status along with it.
+TEST(RolloutStateTable, IdentifiesAnOrderWithAForeignStatusByItsRevision)
+{
+    rollout_state_table table;
+    table.learn(storedOrder(44, stored_status { rollout_state::Done, "v2", 41, 0 }), start, wallClock);
+    auto next = storedOrder(50, stored_status { rollout_state::Running, "v3", 0, 0 });
+    next.targetVersion = "v3";
+    EXPECT_TRUE(table.learn(next, start, wallClock));
+    EXPECT_EQ(table.find("slots")->order, 50u);
+}
+
 // Guards against a new order on an object that still has the status of an earlier one.
 TEST(RolloutStateTable, TakesAnotherVersionOrAnObjectMadeAnewForANewOrder)
 {
