LibTenants: Hold the limits of tenants over all daemons

Each daemon uses a share of a tenant's limit that follows the demand it sees: a token bucket, and a count of the last 5 s that keeps what passed under a wrong share from passing again. Reports and sums of demand travel with heartbeats to the first relay of the zone and between first relays; steps are told within 250 ms. Beyond the share the client gets 429 with Retry-After; a request that no target ran gives its token back. Operators get merlinpier tenants and tenant NAME, /tenants, the state dump, metrics and the log line tenant_limited. KNOWN-RED.txt can now name tests with parameters.

--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -70,7 +70,10 @@
         refreshRanking();
     }
     join(actions, now, source);
+    if (m_demand)
+        m_demand->setRelaying(addsUpDemand(), now);
     sendHeartbeats(actions, now, source);
+    sendZoneDemand(actions, now);
     flush(actions, now);
     return actions;
 }
@@ -104,15 +107,18 @@
 {
     auto const zoneRelays = relays();
     auto const subscribedTo = subscribedRelay(zoneRelays);
+    auto const takesDemand = demandRelay();
     for (auto const& address : zoneRelays) {
-        if (!m_peers.isHeartbeatDue(address, now))
+        bool const isDemandRelay = address == takesDemand;
+        if (!m_peers.isHeartbeatDue(address, now) && !(isDemandRelay && m_demand->isReportUrgent(now)))
             continue;
         bool const subscribes = !subscribedTo || address == *subscribedTo;
-        sendHeartbeat(actions, address, subscribes);
+        sendHeartbeat(
+            actions, address, subscribes, isDemandRelay ? m_demand->takeReport(now) : std::vector<tenant_demand> {});
         auto const standbyPeriod = duration(static_cast<std::int64_t>(
             standbyHeartbeatPeriods * static_cast<double>(duration(m_settings.heartbeatPeriod).count())));
-        m_peers.didSendHeartbeat(
-            address, now, jittered(subscribes ? duration(m_settings.heartbeatPeriod) : standbyPeriod, source));
+        m_peers.didSendHeartbeat(address, now,
+            jittered(subscribes || isDemandRelay ? duration(m_settings.heartbeatPeriod) : standbyPeriod, source));
     }
     for (auto const& address : remoteRelays()) {
         if (!m_peers.isHeartbeatDue(address, now))
@@ -140,7 +146,8 @@
     return zone == m_ranking.end() || zone->second.size() <= maximumFullySubscribedZoneSize;
 }
 
-void member::sendHeartbeat(actions& actions, std::string const& address, bool subscribes) const
+void member::sendHeartbeat(
+    actions& actions, std::string const& address, bool subscribes, std::vector<tenant_demand> demand) const
 {
     heartbeat beat;
     beat.vm = m_self.vm;
@@ -150,6 +157,7 @@
     beat.highestKnownVersion = m_appliedInThisRun;
     beat.tableDigest = m_table.digest();
     beat.subscribes = subscribes;
+    beat.tenantDemand = std::move(demand);
     actions.emplace_back(send_message { address, std::move(beat) });
 }
 
@@ -219,6 +227,7 @@
         m_peers.unsubscribe(from);
     }
     answer.isRelay = isRelay();
+    answer.tenantDemand = takeDemand(beat, now);
     actions.emplace_back(send_message { from, std::move(answer) });
     if (m_table.merge(appliedVersionOnly(beat.vm, beat.appliedVersion)) == merge_effect::AppliedVersion)
         m_updateQueue.addAppliedVersion(beat.vm);
@@ -247,6 +256,8 @@
 void member::didReceive(actions& actions, std::string const& from, heartbeat_answer const& answer, time_point now)
 {
     m_failureDetector.didReceiveFrom(answer.vm, now);
+    if (m_demand && !answer.tenantDemand.empty())
+        m_demand->didReceiveSums(answer.tenantDemand, now);
     if (answer.retryAfterMs > 0)
         m_peers.avoidUntil(from, now + milliseconds(answer.retryAfterMs));
     if (answer.highestKnownVersion > m_appliedInThisRun) {
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -7,6 +7,7 @@
 #include <LibMembership/membership_table.h>
 #include <LibMembership/peer_directory.h>
 #include <LibMembership/update_queue.h>
+#include <LibTenants/demand_exchange.h>
 #include <LibWire/message.h>
 #include <map>
 #include <optional>
@@ -120,6 +121,8 @@
         std::uint64_t version, std::uint64_t refusedVersion, std::string refusedReason, time_point now);
     std::vector<membership_action> setCrashReports(std::vector<crash_report>, time_point now);
     std::vector<membership_action> setLeaving(time_point now);
+    // What heartbeats carry about tenants; must outlive the member. Without one, they carry nothing.
+    void setDemandExchange(demand_exchange& exchange) { m_demand = &exchange; }
     // Adds addresses to join through, such as those listed in the platform's store.
     void addSeeds(std::vector<std::string> const&);
 
@@ -137,7 +140,14 @@
     std::optional<std::string> subscribedRelay(std::vector<std::string> const& zoneRelays) const;
     // Whether the own zone is small enough for its members to subscribe to all of its relays.
     bool membersSubscribeToAllRelays() const;
-    void sendHeartbeat(actions&, std::string const& address, bool subscribes) const;
+    void sendHeartbeat(actions&, std::string const& address, bool subscribes, std::vector<tenant_demand> = {}) const;
+    // Whether this daemon adds up the demand of tenants for its zone: it is the zone's first relay in its own view.
+    bool addsUpDemand() const;
+    // Address of the relay of the own zone that adds up the demand of tenants; empty if that is this daemon, or no
+    // demand is to be reported here.
+    std::string demandRelay() const;
+    void sendZoneDemand(actions&, time_point now);
+    std::vector<tenant_demand> takeDemand(heartbeat const&, time_point now);
     void detectFailures(actions&, time_point now);
     void flush(actions&, time_point now);
 
@@ -171,6 +181,7 @@
     peer_directory m_peers;
     failure_detector m_failureDetector;
     update_queue m_updateQueue;
+    demand_exchange* m_demand { nullptr };
     join_schedule m_joinSchedule;
     // The members of each zone in the order of rankRelays().
     std::map<std::string, std::vector<ranked_member>> m_ranking;
--- a/Libraries/LibMetrics/metrics.cpp
+++ b/Libraries/LibMetrics/metrics.cpp
@@ -138,6 +138,12 @@
     m_gauges[gauge] = value;
 }
 
+void metrics::removeGauge(std::string const& gauge)
+{
+    mutex_lock lock(m_mutex);
+    m_gauges.erase(gauge);
+}
+
 void metrics::observe(std::string const& distribution, double value)
 {
     // A value that is no number would spoil the mean for good.
--- a/Libraries/LibMetrics/metrics.h
+++ b/Libraries/LibMetrics/metrics.h
@@ -28,6 +28,8 @@
     ~metrics();
     void add(std::string const& counter, std::uint64_t amount = 1);
     void setGauge(std::string const& gauge, double value);
+    // For a gauge whose label is no longer shown.
+    void removeGauge(std::string const& gauge);
     void observe(std::string const& distribution, double value);
     std::uint64_t counter(std::string const& name) const;
     distribution_summary summary(std::string const& distribution) const;
--- a/Libraries/LibOperator/operator_commands.cpp
+++ b/Libraries/LibOperator/operator_commands.cpp
@@ -257,6 +257,13 @@
         m_client.remove("/crashing-requests/" + percentEncoded(fingerprint), readTimeout), describeCrashingRequests);
 }
 
+exit_code operator_commands::tenants() { return print(m_client.get("/tenants", readTimeout), describeTenants); }
+
+exit_code operator_commands::tenant(std::string const& name)
+{
+    return print(m_client.get("/tenants/" + percentEncoded(name), readTimeout), describeTenant);
+}
+
 exit_code operator_commands::dump(std::string const& vm)
 {
     return print(m_client.get("/state?vm=" + percentEncoded(vm), readTimeout), indented);
--- a/Libraries/LibOperator/operator_commands.h
+++ b/Libraries/LibOperator/operator_commands.h
@@ -64,6 +64,9 @@
     exit_code suspects();
     // Takes all crashes off a request, so that it runs again everywhere.
     exit_code lift(std::string const& fingerprint);
+    // Lists the tenants with their limits and their use at the daemon, or shows one.
+    exit_code tenants();
+    exit_code tenant(std::string const& name);
     // Prints the internal state of the daemon on this VM, as JSON.
     exit_code dump(std::string const& vm);
 
--- a/Libraries/LibOperator/text_report.cpp
+++ b/Libraries/LibOperator/text_report.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/json_object_reader.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <functional>
 #include <nlohmann/json.hpp>
 
@@ -125,6 +126,54 @@
         + std::to_string(zone.lowestApplied) + " or above" + (zone.isReachable ? "" : "; unreachable") + "\n";
 }
 
+std::string decimalText(double value)
+{
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.1f", value);
+    return text;
+}
+
+std::string tenantLimitText(nlohmann::json const& tenant)
+{
+    auto const rate = tenant.at("rate").get<double>();
+    if (rate == 0)
+        return "no limit";
+    return "limit " + decimalText(rate) + " a second and " + decimalText(tenant.at("burst").get<double>()) + " at once";
+}
+
+std::string tenantDemandText(nlohmann::json const& tenant)
+{
+    auto const& fleet = tenant.at("fleet_demand");
+    return decimalText(tenant.at("own_demand").get<double>()) + " a second here, "
+        + (fleet.is_null() ? "an unknown number" : decimalText(fleet.get<double>())) + " at all daemons";
+}
+
+std::string tenantsText(nlohmann::json const& value)
+{
+    std::string text;
+    for (auto const& tenant : value.at("tenants")) {
+        text += padded(tenant.at("name").get<std::string>(), 20) + tenantLimitText(tenant) + "; "
+            + tenantDemandText(tenant) + "; " + numberText(tenant.at("limited")) + " refused here\n";
+    }
+    return text.empty() ? "the configuration has no tenants\n" : text;
+}
+
+std::string tenantText(nlohmann::json const& tenant)
+{
+    auto const& priority = tenant.at("priority");
+    std::string text = tenant.at("name").get<std::string>() + "\n  priority   "
+        + (priority.is_null() ? "that of the route" : numberText(priority)) + "\n  quota      "
+        + tenantLimitText(tenant) + "\n  demand     " + tenantDemandText(tenant) + "\n  allowed    "
+        + numberText(tenant.at("allowed")) + " here\n  refused    " + numberText(tenant.at("limited"))
+        + " here for the limit\n";
+    if (tenant.contains("share")) {
+        text += "  share      " + decimalText(tenant.at("share").get<double>() * 100)
+            + " % of the limit is this daemon's; it has " + decimalText(tenant.at("tokens").get<double>())
+            + " requests left at once\n";
+    }
+    return text;
+}
+
 // Counts the live daemons that have applied at least the version.
 std::size_t countLive(fleet_status const& status, std::uint64_t version)
 {
@@ -162,6 +211,10 @@
 
 result<std::string> describeCrashingRequests(std::string_view body) { return describe(body, crashingRequestsText); }
 
+result<std::string> describeTenants(std::string_view body) { return describe(body, tenantsText); }
+
+result<std::string> describeTenant(std::string_view body) { return describe(body, tenantText); }
+
 result<std::string> indented(std::string_view body) { return describe(body, dump); }
 
 std::string describeStatus(fleet_status const& status)
--- a/Libraries/LibOperator/text_report.h
+++ b/Libraries/LibOperator/text_report.h
@@ -22,6 +22,10 @@
 result<std::string> describeHistory(std::string_view body);
 // The requests that are suspected or blocked, from GET /crashing-requests.
 result<std::string> describeCrashingRequests(std::string_view body);
+// The tenants with their limits and their use at the daemon, from GET /tenants.
+result<std::string> describeTenants(std::string_view body);
+// One tenant, from GET /tenants/{name}.
+result<std::string> describeTenant(std::string_view body);
 // Any JSON, with indentation.
 result<std::string> indented(std::string_view body);
 
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -7,7 +7,7 @@
 [ ${#steps[@]} -eq 0 ] && steps=(install build format lint tests soak sanitizers fuzz)
 knownRedFilter() {
     [ -s KNOWN-RED.txt ] || return 0
-    sed -n 's/^\([A-Za-z0-9_]*\.[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt | paste -sd: -
+    sed -n 's/^\([A-Za-z0-9_/]*\.[A-Za-z0-9_/]*\):.*/\1/p' KNOWN-RED.txt | paste -sd: -
 }
 runTests() {
     local folder="$1" leftOut="$2" red filter
--- a/Services/Daemon/daemon.cpp
+++ b/Services/Daemon/daemon.cpp
@@ -40,6 +40,7 @@
           m_settings.targetLease, m_crashing, m_hub, m_environment.http, m_environment.targets, m_metrics)
     , m_calls(m_settings.client, m_settings.chooser, m_crashing, m_hub, m_metrics, drawNumber())
 {
+    m_membership.setDemandExchange(m_tenants.exchange());
     m_configuration.setChangeHandler([this] { didChangeConfiguration(); });
     m_calls.setDepartureHandler(
         [this](std::string const& target, std::uint64_t startedAt) { didLearnDeparture(target, startedAt); });
@@ -287,7 +288,11 @@
 
 void daemon::tickSlowly()
 {
+    // While it joins, a daemon that the store has told nothing knows far too few members.
+    if (m_listedDaemons > 0)
+        m_tenants.setDaemons(std::max(m_listedDaemons, liveMembers()), m_membership.table().records().size());
     m_membership.tick();
+    m_tenants.tick();
     m_departedTargets.expire(currentTime());
     m_crashing->expire(currentTime());
     // Contacts age without a message, so the peers are taken anew with every tick.
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -6,6 +6,7 @@
 #include "membership_part.h"
 #include "peer_hub.h"
 #include "target_gateway.h"
+#include "tenant_part.h"
 
 #include <LibHttp/http_client.h>
 #include <LibLoop/event_loop.h>
@@ -45,6 +46,7 @@
     target_gateway& targets() { return m_targets; }
     call_gateway& calls() { return m_calls; }
     crashing_requests& crashing() { return *m_crashing; }
+    tenant_part& tenants() { return m_tenants; }
     metrics& figures() { return m_metrics; }
     object_store& store() { return m_environment.store; }
     event_loop& loop() { return m_environment.loop; }
@@ -103,6 +105,7 @@
     std::shared_ptr<crashing_requests> m_crashing;
     target_gateway m_targets;
     call_gateway m_calls;
+    tenant_part m_tenants { m_metrics };
     std::vector<timer_id> m_timers;
     std::function<void(routing_snapshot const&)> m_didRenewRoutes;
     std::function<void()> m_didDrain;
--- a/Services/Daemon/membership_part.h
+++ b/Services/Daemon/membership_part.h
@@ -35,6 +35,7 @@
     void setCrashReports(std::vector<crash_report>);
     std::vector<crash_report> takeCrashReportsBefore() { return m_member.takeCrashReportsBefore(); }
     void setLeaving();
+    void setDemandExchange(demand_exchange& exchange) { m_member.setDemandExchange(exchange); }
     void addSeeds(std::vector<std::string> const&);
 
     membership_table const& table() const { return m_member.table(); }
--- a/Services/Daemon/operator_api.cpp
+++ b/Services/Daemon/operator_api.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::string_view servicesPath = "/config/services";
 constexpr std::string_view crashingRequestsPath = "/crashing-requests";
+constexpr std::string_view tenantsPath = "/tenants";
 constexpr milliseconds dumpTimeout { 3000 };
 
 } // namespace
@@ -53,6 +54,11 @@
         responder->respond(jsonResponse(200, crashingRequests(m_daemon)));
     } else if (path.starts_with(std::string(crashingRequestsPath) + "/") && request.method == "DELETE") {
         responder->respond(liftBlock(path.substr(crashingRequestsPath.size() + 1)));
+    } else if (path == tenantsPath) {
+        responder->respond(
+            jsonResponse(200, m_daemon.tenants().allJson(m_daemon.configuration().applied()->tenants())));
+    } else if (path.starts_with(std::string(tenantsPath) + "/")) {
+        responder->respond(tenantNamed(path.substr(tenantsPath.size() + 1)));
     } else if (path == servicesPath) {
         responder->respond(services());
     } else if (path.starts_with(std::string(servicesPath) + "/")) {
@@ -152,6 +158,17 @@
     return jsonResponse(200, crashingRequests(m_daemon));
 }
 
+http_response operator_api::tenantNamed(std::string const& encodedName) const
+{
+    auto const name = percentDecode(encodedName).value_or(encodedName);
+    auto const applied = m_daemon.configuration().applied();
+    if (auto const found = m_daemon.tenants().oneJson(applied->tenants(), name))
+        return jsonResponse(200, *found);
+    return errorResponse(
+        { error_kind::NotFound, "no tenant " + name + " in version " + std::to_string(applied->version()),
+            "see merlinpier tenants for the tenants" });
+}
+
 http_response operator_api::services() const
 {
     auto const applied = m_daemon.configuration().applied();
--- a/Services/Daemon/operator_api.h
+++ b/Services/Daemon/operator_api.h
@@ -22,6 +22,7 @@
     void stateOf(std::string const& vm, std::shared_ptr<http_responder> const&);
     http_response check(http_request const&) const;
     http_response services() const;
+    http_response tenantNamed(std::string const& encodedName) const;
     http_response liftBlock(std::string const& fingerprint);
     http_response service(std::string const& name) const;
 
--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -112,6 +112,11 @@
     return requests;
 }
 
+nlohmann::json tenantsJson(daemon& owner)
+{
+    return nlohmann::json::parse(owner.tenants().allJson(owner.configuration().applied()->tenants()));
+}
+
 nlohmann::json transportJson(daemon& owner)
 {
     auto const totals = owner.hub().totals();
@@ -137,8 +142,9 @@
         { "instance", owner.instance() }, { "draining", owner.isDraining() },
         { "configuration", configurationJson(owner) }, { "membership", membershipJson(owner) },
         { "routes", routesJson(owner) }, { "calls", callsJson(owner) },
-        { "crashing_requests", crashingRequestsJson(owner) }, { "transport", transportJson(owner) } };
-    return dump.dump();
+        { "crashing_requests", crashingRequestsJson(owner) }, { "tenants", tenantsJson(owner) },
+        { "transport", transportJson(owner) } };
+    return dump.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::string crashingRequests(daemon& owner)
@@ -172,6 +178,7 @@
         figures.setGauge("merlinpier_target_request_limit" + label,
             load.requestLimit ? std::max(*load.requestLimit, smallestShownLimit) : 0);
     }
+    owner.tenants().setGauges();
     return figures.prometheusText();
 }
 
--- a/Tests/LibOperator/operator_commands_test.cpp
+++ b/Tests/LibOperator/operator_commands_test.cpp
@@ -195,4 +195,25 @@
         exit_code::Refused);
 }
 
+// Guards against a limit or a count that operators cannot find when clients report 429.
+TEST_F(OperatorCommandsTest, ShowsTheTenantsAndOneOfThem)
+{
+    std::string const one = R"({"name":"hule930","priority":1,"rate":557.0,"burst":557.0,"allowed":812,"limited":31,)"
+                            R"("own_demand":20.25,"fleet_demand":700.5,"share":0.03,"tokens":1.5})";
+    std::string const plain = R"({"name":"vint","priority":null,"rate":0.0,"burst":0.0,"allowed":3,"limited":0,)"
+                              R"("own_demand":0.0,"fleet_demand":null})";
+    auto const list = ok(R"({"tenants":[)" + one + "," + plain + R"(],"adds_up_zone":false})");
+    EXPECT_EQ(run([](auto& commands) { return commands.tenants(); }, { list }), exit_code::Success);
+    EXPECT_EQ(m_output.str(),
+        "hule930               limit 557.0 a second and 557.0 at once; 20.2 a second here, 700.5 at all daemons; 31 "
+        "refused here\n"
+        "vint                  no limit; 0.0 a second here, an unknown number at all daemons; 0 refused here\n");
+    EXPECT_EQ(run([](auto& commands) { return commands.tenant("hule 930"); }, { ok(one) }), exit_code::Success);
+    EXPECT_EQ(m_http.requests[0].url, "http://10.0.0.1:80/tenants/hule%20930");
+    EXPECT_NE(m_output.str().find("31 here for the limit"), std::string::npos);
+    EXPECT_NE(m_output.str().find("3.0 % of the limit"), std::string::npos);
+    error const unknown { error_kind::NotFound, "no tenant", "" };
+    EXPECT_EQ(run([](auto& commands) { return commands.tenant("none"); }, { refused(unknown) }), exit_code::Refused);
+}
+
 } // namespace merlinpier
--- a/Utilities/merlinpier/main.cpp
+++ b/Utilities/merlinpier/main.cpp
@@ -26,6 +26,8 @@
   merlinpier dump vm-a1 --daemon 10.0.0.1:8080
   merlinpier suspects --daemon 10.0.0.1:8080
   merlinpier lift 9f3ad2c81be07745 --daemon 10.0.0.1:8080
+  merlinpier tenants --daemon 10.0.0.1:8080
+  merlinpier tenant hule930 --daemon 10.0.0.1:8080
 
 Exit codes:
   0  done
@@ -56,6 +58,7 @@
     bool answersAlone { false };
     std::string vm;
     std::string request;
+    std::string tenant;
 };
 
 // CLI11 validators return an empty text for what is valid.
@@ -123,6 +126,9 @@
     app.add_subcommand("suspects", "List the requests that are suspected of crashing targets, or blocked for it");
     auto* const lift = app.add_subcommand("lift", "Let such a request run again");
     lift->add_option("request", line.request, "Its fingerprint: 16 hexadecimal digits")->required();
+    app.add_subcommand("tenants", "List the tenants with their limits and their use at a daemon");
+    auto* const tenant = app.add_subcommand("tenant", "Show one tenant: quota, use, and what was refused at a daemon");
+    tenant->add_option("name", line.tenant, "Its name")->required();
     auto* const dump = app.add_subcommand("dump", "Print the state of a daemon as JSON");
     dump->add_option("vm", line.vm, "Name of the daemon's VM")->required();
 }
@@ -184,6 +190,10 @@
         return commands.suspects();
     if (command == "lift")
         return commands.lift(line.request);
+    if (command == "tenants")
+        return commands.tenants();
+    if (command == "tenant")
+        return commands.tenant(line.tenant);
     if (command == "dump")
         return commands.dump(line.vm);
     if (line.waitedVersion > 0)
