--- a/Tests/LibTenants/many_tenants_test.cpp
+++ b/Tests/LibTenants/many_tenants_test.cpp
@@ -27,7 +27,7 @@
     return std::to_string(info.param.daemons) + "Daemons";
 }
 
-class ManyTenants : public testing::TestWithParam<fleet_load> { };
+class ManyTenantsTest : public testing::TestWithParam<fleet_load> { };
 
 // Gives a tenant as many clients as its size calls for, each at one VM.
 void placeClients(quota_simulation& fleet, std::size_t tenant, double perSecond, generator& source)
@@ -51,7 +51,7 @@
 } // namespace
 
 // Guards against refusals below the limits, windows above the rule, and an exchange that costs more than it is worth.
-TEST_P(ManyTenants, KeepTheirLimitsAtLittleCost)
+TEST_P(ManyTenantsTest, KeepTheirLimitsAtLittleCost)
 {
     auto const load = GetParam();
     quota_simulation fleet(20261204, load.zones, load.daemons);
@@ -103,10 +103,10 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Sizes, ManyTenants, testing::Values(fleet_load { 3, 12, 400, seconds(100) }, fleet_load { 4, 66, 2000 }), nameOf);
+INSTANTIATE_TEST_SUITE_P(Sizes, ManyTenantsTest,
+    testing::Values(fleet_load { 3, 12, 400, seconds(100) }, fleet_load { 4, 66, 2000 }), nameOf);
 // Left out under sanitizers (Meta/test.sh), where they would take minutes.
-INSTANTIATE_TEST_SUITE_P(LargeFleet, ManyTenants,
+INSTANTIATE_TEST_SUITE_P(LargeFleet, ManyTenantsTest,
     testing::Values(fleet_load { 5, 194, 5000 }, fleet_load { 10, 1000, 20000, seconds(8) }), nameOf);
 
 } // namespace merlinpier
--- a/Tests/LibTenants/quota_fleet_test.cpp
+++ b/Tests/LibTenants/quota_fleet_test.cpp
@@ -29,9 +29,9 @@
     return std::to_string(info.param.daemons) + "Daemons";
 }
 
-class QuotaFleet : public testing::TestWithParam<fleet_size> {
+class QuotaFleetTest : public testing::TestWithParam<fleet_size> {
 protected:
-    QuotaFleet()
+    QuotaFleetTest()
         : m_fleet(20261204, GetParam().zones, GetParam().daemons)
     {
         m_tenant = m_fleet.addTenant(makeTenant(limit(), limit()));
@@ -63,7 +63,7 @@
 } // namespace
 
 // Guards against requests that are refused although the tenant stays below its limit.
-TEST_P(QuotaFleet, RefusesNothingInCalm)
+TEST_P(QuotaFleetTest, RefusesNothingInCalm)
 {
     m_fleet.setRateEvenly(m_tenant, usual());
     m_fleet.run(seconds(60));
@@ -73,7 +73,7 @@
 }
 
 // Guards against a limit that is exceeded, or not used, while the tenant keeps sending twice as much.
-TEST_P(QuotaFleet, UsesTheLimitAtTwiceTheLimit)
+TEST_P(QuotaFleetTest, UsesTheLimitAtTwiceTheLimit)
 {
     m_fleet.setRateEvenly(m_tenant, 2 * limit());
     m_fleet.run(seconds(10));
@@ -87,7 +87,7 @@
 }
 
 // Guards against a hot tenant whose requests pass everywhere before the daemons know of each other's.
-TEST_P(QuotaFleet, BoundsATenantAtManyTimesItsUsualRate)
+TEST_P(QuotaFleetTest, BoundsATenantAtManyTimesItsUsualRate)
 {
     for (double const factor : { 3.0, 5.0, 7.5 }) {
         m_fleet.setRateEvenly(m_tenant, usual());
@@ -102,7 +102,7 @@
 }
 
 // Guards against a tenant that becomes hot in one zone only, so that the others learn of it last.
-TEST_P(QuotaFleet, BoundsATenantThatIsHotInOneZone)
+TEST_P(QuotaFleetTest, BoundsATenantThatIsHotInOneZone)
 {
     m_fleet.setRateEvenly(m_tenant, usual());
     m_fleet.run(seconds(15));
@@ -114,7 +114,7 @@
 }
 
 // Guards against clients that are refused, below the limit, for having moved to another zone.
-TEST_P(QuotaFleet, FollowsClientsToAnotherZoneInCalm)
+TEST_P(QuotaFleetTest, FollowsClientsToAnotherZoneInCalm)
 {
     m_fleet.setRateInZone(m_tenant, 0, usual());
     m_fleet.run(seconds(15));
@@ -130,7 +130,7 @@
 }
 
 // Guards against a limit that lies idle, or is used twice, after the clients of an overloaded tenant have moved.
-TEST_P(QuotaFleet, FollowsClientsToAnotherZoneInOverload)
+TEST_P(QuotaFleetTest, FollowsClientsToAnotherZoneInOverload)
 {
     m_fleet.setRateInZone(m_tenant, 0, 2 * limit());
     m_fleet.run(seconds(15));
@@ -148,7 +148,7 @@
 }
 
 // Guards against a lower limit that binds late, or that refuses everything for a while.
-TEST_P(QuotaFleet, KeepsALimitThatFallsFarBelowTheDemand)
+TEST_P(QuotaFleetTest, KeepsALimitThatFallsFarBelowTheDemand)
 {
     m_fleet.setRateEvenly(m_tenant, usual());
     m_fleet.run(seconds(15));
@@ -163,7 +163,7 @@
 }
 
 // Guards against zones that cannot reach each other and each use the whole limit.
-TEST_P(QuotaFleet, KeepsTheLimitDuringAPartition)
+TEST_P(QuotaFleetTest, KeepsTheLimitDuringAPartition)
 {
     m_fleet.setRateEvenly(m_tenant, usual());
     m_fleet.run(seconds(15));
@@ -184,7 +184,7 @@
 
 // Guards against a hot tenant that gets its whole burst again, and shares that nobody knows, after a restart of all
 // daemons.
-TEST_P(QuotaFleet, KeepsTheLimitWhenAllDaemonsRestart)
+TEST_P(QuotaFleetTest, KeepsTheLimitWhenAllDaemonsRestart)
 {
     m_fleet.setRateEvenly(m_tenant, usual());
     m_fleet.run(seconds(10));
@@ -205,8 +205,8 @@
     expectWithinRule();
 }
 
-INSTANTIATE_TEST_SUITE_P(Sizes, QuotaFleet, testing::Values(fleet_size { 3, 12 }, fleet_size { 4, 66 }), nameOf);
+INSTANTIATE_TEST_SUITE_P(Sizes, QuotaFleetTest, testing::Values(fleet_size { 3, 12 }, fleet_size { 4, 66 }), nameOf);
 // Left out under sanitizers (Meta/test.sh), where they would take minutes.
-INSTANTIATE_TEST_SUITE_P(LargeFleet, QuotaFleet, testing::Values(fleet_size { 5, 194 }), nameOf);
+INSTANTIATE_TEST_SUITE_P(LargeFleet, QuotaFleetTest, testing::Values(fleet_size { 5, 194 }), nameOf);
 
 } // namespace merlinpier
