--- a/Libraries/LibOperator/operator_commands.cpp
+++ b/Libraries/LibOperator/operator_commands.cpp
@@ -281,6 +281,13 @@
     return print(m_client.get(query, readTimeout), describeExplanation);
 }
 
+exit_code operator_commands::tenants() { return print(m_client.get("/tenants", readTimeout), describeTenants); }
+
+exit_code operator_commands::tenant(std::string const& name)
+{
+    return print(m_client.get("/tenants/" + percentEncoded(name), readTimeout), describeTenant);
+}
+
 exit_code operator_commands::dump(std::string const& vm)
 {
     return print(m_client.get("/state?vm=" + percentEncoded(vm), readTimeout), indented);
--- a/Libraries/LibOperator/operator_commands.h
+++ b/Libraries/LibOperator/operator_commands.h
@@ -84,6 +84,9 @@
     exit_code abortRollout(std::string const& service);
     // Shows where the daemon would send such a request now, and what it knows of the admission there.
     exit_code explain(explained_request const&);
+    // Lists the tenants with their limits and their use at the daemon, or shows one.
+    exit_code tenants();
+    exit_code tenant(std::string const& name);
     // Prints the internal state of the daemon on this VM, as JSON.
     exit_code dump(std::string const& vm);
 
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -7,6 +7,7 @@
 #include "peer_hub.h"
 #include "rollout_part.h"
 #include "target_gateway.h"
+#include "tenant_part.h"
 
 #include <LibHttp/http_client.h>
 #include <LibLoop/event_loop.h>
@@ -49,6 +50,7 @@
     call_gateway& calls() { return m_calls; }
     rollout_part& rollouts() { return m_rollouts; }
     crashing_requests& crashing() { return *m_crashing; }
+    tenant_part& tenants() { return m_tenants; }
     metrics& figures() { return m_metrics; }
     object_store& store() { return m_environment.store; }
     event_loop& loop() { return m_environment.loop; }
@@ -109,6 +111,7 @@
     rollout_part m_rollouts;
     target_gateway m_targets;
     call_gateway m_calls;
+    tenant_part m_tenants { m_metrics };
     std::vector<timer_id> m_timers;
     std::function<void(routing_snapshot const&)> m_didRenewRoutes;
     std::function<void()> m_didDrain;
--- a/Services/Daemon/membership_part.h
+++ b/Services/Daemon/membership_part.h
@@ -37,6 +37,7 @@
     void setRollouts(std::vector<rollout_report>);
     std::optional<member::relay_position> primaryRelayPosition() const { return m_member.primaryRelayPosition(); }
     void setLeaving();
+    void setDemandExchange(demand_exchange& exchange) { m_member.setDemandExchange(exchange); }
     void addSeeds(std::vector<std::string> const&);
 
     membership_table const& table() const { return m_member.table(); }
--- a/Services/Daemon/operator_api.h
+++ b/Services/Daemon/operator_api.h
@@ -23,6 +23,7 @@
     http_response check(http_request const&) const;
     http_response services() const;
     http_response abortRollout(std::string const& path);
+    http_response tenantNamed(std::string const& encodedName) const;
     http_response liftBlock(std::string const& fingerprint);
     http_response service(std::string const& name) const;
 
--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -131,6 +131,11 @@
     return requests;
 }
 
+nlohmann::json tenantsJson(daemon& owner)
+{
+    return nlohmann::json::parse(owner.tenants().allJson(owner.configuration().applied()->tenants()));
+}
+
 nlohmann::json transportJson(daemon& owner)
 {
     auto const totals = owner.hub().totals();
@@ -180,8 +185,9 @@
         { "configuration", configurationJson(owner) }, { "membership", membershipJson(owner) },
         { "routes", routesJson(owner) }, { "calls", callsJson(owner) },
         { "crashing_requests", crashingRequestsJson(owner) },
-        { "rollouts", nlohmann::json::parse(rolloutsJson(owner)) }, { "transport", transportJson(owner) } };
-    return dump.dump();
+        { "rollouts", nlohmann::json::parse(rolloutsJson(owner)) }, { "tenants", tenantsJson(owner) },
+        { "transport", transportJson(owner) } };
+    return dump.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::string crashingRequests(daemon& owner)
@@ -226,6 +232,7 @@
         setOrderGauges(figures, id, load);
     }
     setRolloutMetrics(owner);
+    owner.tenants().setGauges();
     return figures.prometheusText();
 }
 
--- a/Utilities/merlinpier/main.cpp
+++ b/Utilities/merlinpier/main.cpp
@@ -28,6 +28,8 @@
   merlinpier lift 9f3ad2c81be07745 --daemon 10.0.0.1:8080
   merlinpier rollout status slots --daemon 10.0.0.1:8080
   merlinpier explain --host shop.example --path /orders/7 --daemon 10.0.0.1:8080
+  merlinpier tenants --daemon 10.0.0.1:8080
+  merlinpier tenant hule930 --daemon 10.0.0.1:8080
 
 Exit codes:
   0  done
@@ -61,6 +63,7 @@
     std::string rolloutAction;
     explained_request explained;
     std::int64_t explainedDeadlineMs { 0 };
+    std::string tenant;
 };
 
 // CLI11 validators return an empty text for what is valid.
@@ -150,6 +153,9 @@
         ->check(CLI::IsMember({ "list", "status", "abort" }));
     rollout->add_option("service", line.service, "Name of the service, for status and abort");
     addExplainCommand(app, line);
+    app.add_subcommand("tenants", "List the tenants with their limits and their use at a daemon");
+    auto* const tenant = app.add_subcommand("tenant", "Show one tenant: quota, use, and what was refused at a daemon");
+    tenant->add_option("name", line.tenant, "Its name")->required();
     auto* const dump = app.add_subcommand("dump", "Print the state of a daemon as JSON");
     dump->add_option("vm", line.vm, "Name of the daemon's VM")->required();
 }
@@ -226,6 +232,10 @@
             return exit_code::Usage;
         return line.rolloutAction == "abort" ? commands.abortRollout(line.service) : commands.rollouts(line.service);
     }
+    if (command == "tenants")
+        return commands.tenants();
+    if (command == "tenant")
+        return commands.tenant(line.tenant);
     if (command == "dump")
         return commands.dump(line.vm);
     if (command == "explain")
