LibCalls: Leave slots to the calls of an earlier process of the daemon

A target that cannot queue a request never answers it. After a restart, the daemon does not know which calls the target still runs. For 1.5 s, the calls that a target with a pace announces beyond the daemon's own reduce its slots. A test shows that the HTTP client closes a mute connection at the timeout and sends the next request on another one.

--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -182,7 +182,7 @@
         return actions;
     }
     if (isLast && entry->state == run_state::Running)
-        actions.push_back(abort_call { attempt->call });
+        actions.emplace_back(abort_call { attempt->call });
     m_ledger.release(waiter, attempt->call);
     return actions;
 }
@@ -267,14 +267,11 @@
     return actions;
 }
 
-void call_server::didAnnouncePace(std::string const& target, std::uint32_t percent, time_point now)
-{
-    if (auto const queue = m_queues.find(target); queue != m_queues.end())
-        queue->second.setPace({ percent, now });
-}
-
 std::vector<server_action> call_server::tick(time_point now)
 {
+    if (!m_startedAt)
+        m_startedAt = now;
+    releaseHeldSlots(now);
     std::vector<server_action> actions;
     for (auto& [target, queue] : m_queues)
         apply(queue.tick(now), now, actions);
@@ -326,7 +323,9 @@
     bool const isUnlimited = m_settings.admission == admission_policy::Unlimited;
     auto const slots = service.answers.slotsPerCopy > 0 ? service.answers.slotsPerCopy : target.slots;
     auto const queueLimit = service.queueLimit > 0 ? service.queueLimit : slots * m_settings.queuedPerSlot;
-    queue.setLimits({ slots, queueLimit, m_settings.deadlineMargin, isUnlimited });
+    auto const found = m_heldSlots.find(call.target);
+    auto const held = found == m_heldSlots.end() ? 0 : std::min(found->second, slots - std::min(slots, 1u));
+    queue.setLimits({ slots - held, queueLimit, m_settings.deadlineMargin, isUnlimited });
     return queue;
 }
 
--- a/Libraries/LibCalls/call_server.h
+++ b/Libraries/LibCalls/call_server.h
@@ -126,6 +126,9 @@
         std::string const& target, std::optional<double> requestsPerSecond, time_point now);
     // The target announced in an answer how long work takes there, in percent of the usual time.
     void didAnnouncePace(std::string const& target, std::uint32_t percent, time_point now);
+    // The target announced in an answer how many calls it runs and queues. Soon after the start of this process, those
+    // beyond its own were begun by an earlier process, and hold slots of the target.
+    void didAnnounceLoad(std::string const& target, std::uint32_t calls, time_point now);
     // A call that a target of this VM made has failed; a run that reports a failure soon after has failed because of
     // it.
     void didFailInnerCall(time_point now) { m_lastInnerFailure = now; }
@@ -167,6 +170,7 @@
     void continueTrials(time_point now, std::vector<server_action>&);
     void blameRuns(std::string const& target, time_point now);
     void reply(ledger_entry const&, call_waiter const&, time_point now, std::vector<server_action>&) const;
+    void releaseHeldSlots(time_point now);
     call_status statusOf(call_origin const&, std::string const& attempt, time_point now);
     std::uint32_t loadOf(std::string const& target, time_point now) const;
     std::uint32_t serviceUsOf(call_request const&) const;
@@ -182,6 +186,9 @@
     std::map<std::string, admission_queue> m_queues;
     std::uint64_t m_version { 0 };
     std::optional<time_point> m_lastInnerFailure;
+    // The time of the first tick, and the slots by target that are left to calls of an earlier process.
+    std::optional<time_point> m_startedAt;
+    std::map<std::string, std::uint32_t> m_heldSlots;
 };
 
 } // namespace merlinpier
--- a/Libraries/LibCalls/call_server_runs.cpp
+++ b/Libraries/LibCalls/call_server_runs.cpp
@@ -3,8 +3,9 @@
 #include <LibCalls/refusal_rules.h>
 #include <LibCore/digest.h>
 #include <algorithm>
+#include <utility>
 
-// The part of call_server that handles the ends of runs, and the trials of suspects.
+// The part of call_server that handles the ends of runs, what targets announce, and the trials of suspects.
 
 namespace merlinpier {
 
@@ -14,6 +15,9 @@
 constexpr milliseconds retryAfterTrials { 500 };
 // A target reports a failure at once when a call that it needs has failed.
 constexpr milliseconds innerFailureDelay { 50 };
+// A target drops a request when its connection ends, so that runs of an earlier process of this daemon end within this
+// time after the start.
+constexpr milliseconds earlierRunsRetention { 1500 };
 
 // Names the incarnation of a target that crashed.
 std::uint64_t crashIdentifier(std::string const& target, std::uint64_t startedAt) { return hash64(target, startedAt); }
@@ -165,4 +169,36 @@
     }
 }
 
+void call_server::didAnnouncePace(std::string const& target, std::uint32_t percent, time_point now)
+{
+    if (auto const queue = m_queues.find(target); queue != m_queues.end())
+        queue->second.setPace({ percent, now });
+}
+
+void call_server::didAnnounceLoad(std::string const& target, std::uint32_t calls, time_point now)
+{
+    auto const queue = m_queues.find(target);
+    if (queue == m_queues.end() || !m_startedAt || now - *m_startedAt >= earlierRunsRetention)
+        return;
+    auto limits = queue->second.limits();
+    auto& held = m_heldSlots[target];
+    limits.slots += std::exchange(held, 0);
+    auto const own = static_cast<std::uint32_t>(queue->second.running());
+    held = std::min(calls - std::min(calls, own), limits.slots - std::min(limits.slots, 1u));
+    limits.slots -= held;
+    queue->second.setLimits(limits);
+}
+
+void call_server::releaseHeldSlots(time_point now)
+{
+    if (now - *m_startedAt < earlierRunsRetention)
+        return;
+    for (auto const& [target, held] : std::exchange(m_heldSlots, {})) {
+        auto& queue = m_queues[target];
+        auto limits = queue.limits();
+        limits.slots += held;
+        queue.setLimits(limits);
+    }
+}
+
 } // namespace merlinpier
--- a/Services/Daemon/target_gateway.cpp
+++ b/Services/Daemon/target_gateway.cpp
@@ -314,8 +314,10 @@
             logWarning("target_load_refused", { { "target", target }, { "reason", *notice.loadError } });
     } else if (notice.load)
         m_targetsWithBadLoad.erase(target);
-    if (notice.load && notice.load->pacePercent)
-        m_server.didAnnouncePace(target, *notice.load->pacePercent, currentTime());
+    if (!notice.load || !notice.load->pacePercent)
+        return;
+    m_server.didAnnounceLoad(target, notice.load->running + notice.load->waiting, currentTime());
+    m_server.didAnnouncePace(target, *notice.load->pacePercent, currentTime());
 }
 
 void target_gateway::applyRequestLimit(std::string const& target, char const* source)
--- a/Tests/LibCalls/pace_test.cpp
+++ b/Tests/LibCalls/pace_test.cpp
@@ -1,4 +1,5 @@
-#include <LibCalls/admission_queue.h>
+#include <LibCalls/call_server.h>
+#include <Tests/LibRouting/fleet_fixture.h>
 
 #include <gtest/gtest.h>
 
@@ -64,4 +65,39 @@
     EXPECT_EQ(queue.serviceTime("", call_class::Interactive), milliseconds(200));
 }
 
+// After a restart of the daemon, the target still runs calls that this process does not know. Calls sent beyond its
+// slots and its own queue would never be answered.
+TEST(PaceAtAdmission, LeavesSlotsToCallsOfAnEarlierProcess)
+{
+    call_server server({ .instance = 7 });
+    local_targets targets;
+    ASSERT_FALSE(targets.announce({ "t", "slots", "L", "127.0.0.1:9000", target_state::Ready }, 0, start).isError());
+    auto const configuration = fixture::makeConfiguration({ fixture::makeService("slots", { "L" }, 4) });
+    std::uint64_t calls = 0;
+    auto const startsAtOnce = [&](time_point now) {
+        call_request call;
+        call.id = attempt_identifier { "call" + std::to_string(++calls), calls, false }.text();
+        call.instance = 7;
+        call.generation = 1;
+        call.service = "slots";
+        call.target = "t";
+        call.entryPoint = "lookup";
+        call.remainingMs = 10000;
+        auto const actions = server.didReceiveCall({ 1, 1 }, call, targets, *configuration, now);
+        return !actions.empty() && std::holds_alternative<run_call>(actions[0]);
+    };
+    server.raiseFence({ 1, 1 }, start);
+    server.tick(start);
+    EXPECT_TRUE(startsAtOnce(start));
+    server.didAnnounceLoad("t", 3, start + milliseconds(10));
+    EXPECT_TRUE(startsAtOnce(start + milliseconds(20)));
+    EXPECT_FALSE(startsAtOnce(start + milliseconds(30))) << "two of the four slots are held by earlier calls";
+    server.tick(start + milliseconds(1500));
+    EXPECT_EQ(server.running(), 3u) << "the waiting call is not started when the slots are free again";
+    EXPECT_TRUE(startsAtOnce(start + milliseconds(1510)));
+    server.didAnnounceLoad("t", 40, start + milliseconds(1520));
+    EXPECT_EQ(server.loads(start + milliseconds(1520)).at("t").slots, 4u)
+        << "later, all calls of the target are those of this process";
+}
+
 } // namespace merlinpier
--- a/Tests/LibLoop/loop_http_client_test.cpp
+++ b/Tests/LibLoop/loop_http_client_test.cpp
@@ -175,6 +175,30 @@
 }
 
 // The target answers before it has read a long body; the rest of the body must not be taken for the next request.
+// A target that cannot queue a request answers neither it nor any further one on that connection, and drops it only
+// when the connection ends.
+TEST_F(LoopHttpClientTest, ClosesAMuteConnectionAtTheTimeoutAndUsesAnother)
+{
+    auto mute = request("/1");
+    mute.timeout = milliseconds(150);
+    send(mute);
+    sendNextAfter(1, request("/2"));
+    duration closedAfter { 0 };
+    serve(2, [&] {
+        auto first = m_listener.accept();
+        first.readUntil("\r\n\r\n");
+        auto const readAt = currentTime();
+        first.readToEnd();
+        closedAfter = currentTime() - readAt;
+        auto second = m_listener.accept();
+        second.readUntil("\r\n\r\n");
+        second.send(answer("/2", "two"));
+    });
+    EXPECT_TRUE(m_answers[0].isError());
+    EXPECT_EQ(m_answers[1].value().body, "two");
+    EXPECT_LT(closedAfter, milliseconds(1000));
+}
+
 TEST_F(LoopHttpClientTest, DoesNotUseAConnectionAgainThatStillOwesABody)
 {
     auto early = request("/1");
