LibCalls: Give slow idempotent calls a second run

A run got all the time that its call had left, so that a long or mute run cost the call. The target's daemon reports a run given up at the deadline as lost; callers were told 502 or 504, depending on whether the report came before the next tick of the originating daemon. Both are 504 now.

Every second run takes from the shared retry budget and counts towards the route's attempts; the first good answer wins and the other run is cancelled.

--- a/Libraries/LibCalls/call_attempt.h
+++ b/Libraries/LibCalls/call_attempt.h
@@ -24,8 +24,12 @@
     time_point sentAt {};
     // When the first query after the loss of the link was sent.
     time_point firstQueriedAt {};
+    // How long the call was expected to take when it was dispatched.
+    duration expected { 0 };
     // Whether the target's daemon was asked to refuse the call unless it can start at once.
     bool isProbe { false };
+    // Whether it was sent while an earlier attempt of the call was running.
+    bool isSecondRun { false };
 
     bool operator==(call_attempt const&) const = default;
 };
--- a/Libraries/LibCalls/call_client.cpp
+++ b/Libraries/LibCalls/call_client.cpp
@@ -79,6 +79,7 @@
     record.fingerprint = requestFingerprint(record.request.caller, record.request.path, record.request.body);
     setDeadlineAndObjective(record, now);
     m_budgets.didStartCall(record.request.service, record.request.retriedShare, now);
+    m_hedging.didStartCall();
     if (record.deadline <= now)
         complete(record, notRun(refusal_reason::DeadlineTooShort, minimumRetryAfterMs), out);
     else if (m_crashing->standing(record.fingerprint, now) == request_standing::Blocked)
@@ -108,7 +109,7 @@
     auto const found = m_calls.find(id);
     if (found == m_calls.end() || --found->second.callers > 0)
         return out;
-    cancelAttempt(found->second, now, out);
+    cancelAttempts(found->second, now, out);
     m_calls.erase(found);
     return out;
 }
@@ -144,8 +145,11 @@
 {
     actions out;
     call_query query { instance, {} };
-    for (auto const& id : callsAt(address)) {
-        auto& record = m_calls.at(id);
+    for (auto const& id : attemptsAt(address)) {
+        auto* const found = findByAttempt(id);
+        if (!found)
+            continue;
+        auto& record = *found;
         auto& attempt = *record.attempt;
         if (attempt.state == attempt_state::Dispatched || attempt.generation >= generation)
             continue;
@@ -170,8 +174,11 @@
     std::string const& address, time_point now, generator& random)
 {
     actions out;
-    for (auto const& id : callsAt(address)) {
-        auto& record = m_calls.at(id);
+    for (auto const& id : attemptsAt(address)) {
+        auto* const found = findByAttempt(id);
+        if (!found)
+            continue;
+        auto& record = *found;
         if (record.attempt->state != attempt_state::Dispatched) {
             retryLost(record, "the daemon that knows the outcome cannot be reached", now, random, out);
             continue;
@@ -189,14 +196,14 @@
         ids.push_back(id);
     for (auto const& id : ids) {
         auto& record = m_calls.at(id);
-        auto const& attempt = *record.attempt;
         if (now >= record.deadline) {
             expire(record, now, out);
-        } else if (attempt.state == attempt_state::Dispatched && now - attempt.dispatchedAt >= m_settings.linkTimeout) {
-            retryUnreachable(record, now, random, out);
-        } else if (attempt.state == attempt_state::Querying
-            && now - attempt.firstQueriedAt >= m_settings.queryTimeout) {
-            retryLost(record, "the daemon that knows the outcome did not reply", now, random, out);
+            continue;
+        }
+        checkAttempt(record, now, random, out);
+        if (auto const found = m_calls.find(id); found != m_calls.end() && found->second.secondAttempt) {
+            std::swap(found->second.attempt, found->second.secondAttempt);
+            checkAttempt(found->second, now, random, out);
         }
     }
     for (auto& [address, frame] : m_acknowledgements.take())
@@ -215,7 +222,12 @@
 call_record* call_client::findByAttempt(std::string const& attempt)
 {
     auto const found = m_attempts.find(attempt);
-    return found == m_attempts.end() ? nullptr : &m_calls.at(found->second);
+    if (found == m_attempts.end())
+        return nullptr;
+    auto& record = m_calls.at(found->second);
+    if (record.secondAttempt && record.secondAttempt->id == attempt)
+        std::swap(record.attempt, record.secondAttempt);
+    return &record;
 }
 
 bool call_client::joinInProgress(caller_request const& request)
@@ -294,14 +306,20 @@
         complete(record, refusalForNoTarget(record, now), out);
         return;
     }
+    dispatch(record, *target, isProbe(record, *target, now), now, out);
+}
+
+void call_client::dispatch(call_record& record, route_target const& target, bool isProbe, time_point now, actions& out)
+{
     attempt_identifier const identifier { record.request.id, ++m_lastAttempt, record.isKeyed() };
     ++record.attempts;
     ++record.arrivals;
-    record.attempt = call_attempt { identifier.text(), *target, attempt_state::Dispatched, 0, now };
-    record.attempt->isProbe = isProbe(record, *target, now);
+    record.attempt = call_attempt { identifier.text(), target, attempt_state::Dispatched, 0, now };
+    record.attempt->isProbe = isProbe;
+    record.attempt->expected = m_chooser.expectedFinish(target, record.policy.name, now);
     m_attempts[record.attempt->id] = record.request.id;
-    m_chooser.didSend(target->id, now);
-    out.push_back(dispatch_call { target->address, makeCall(record, *target, now) });
+    m_chooser.didSend(target.id, now);
+    out.push_back(dispatch_call { target.address, makeCall(record, target, now) });
 }
 
 bool call_client::isProbe(call_record const& record, route_target const& target, time_point now) const
@@ -364,8 +382,8 @@
 
 void call_client::expire(call_record& record, time_point now, actions& out)
 {
-    bool const wasSent = record.attempt->state != attempt_state::Dispatched;
-    cancelAttempt(record, now, out);
+    bool const wasSent = record.secondAttempt || record.attempt->state != attempt_state::Dispatched;
+    cancelAttempts(record, now, out);
     if (wasSent)
         complete(record,
             call_outcome_unknown { "the deadline passed before the answer arrived; it may have run: check its effect "
@@ -387,6 +405,13 @@
     endAttempt(record, { attempt_outcome::Refused, std::nullopt }, now);
 }
 
+void call_client::cancelAttempts(call_record& record, time_point now, actions& out)
+{
+    cancelAttempt(record, now, out);
+    if (continueOtherRun(record))
+        cancelAttempt(record, now, out);
+}
+
 void call_client::handleNeverAdmitted(call_record& record, time_point now, generator& random, actions& out)
 {
     if (now - record.attempt->sentAt >= m_settings.neverAdmittedValidity) {
@@ -397,12 +422,15 @@
         notRun(refusal_reason::StaleGeneration, minimumRetryAfterMs), now, random, out);
 }
 
-std::vector<std::string> call_client::callsAt(std::string const& address) const
+std::vector<std::string> call_client::attemptsAt(std::string const& address) const
 {
     std::vector<std::string> ids;
-    for (auto const& [attempt, id] : m_attempts) {
-        if (m_calls.at(id).attempt->target.address == address)
-            ids.push_back(id);
+    for (auto const& [attempt, call] : m_attempts) {
+        auto const& record = m_calls.at(call);
+        auto const& second = record.secondAttempt;
+        auto const& named = second && second->id == attempt ? second : record.attempt;
+        if (named->target.address == address)
+            ids.push_back(attempt);
     }
     return ids;
 }
--- a/Libraries/LibCalls/call_client.h
+++ b/Libraries/LibCalls/call_client.h
@@ -6,6 +6,7 @@
 #include <LibCalls/caller_request.h>
 #include <LibCalls/crashing_requests.h>
 #include <LibCalls/elapsed_time_estimator.h>
+#include <LibCalls/hedging.h>
 #include <LibCore/generator.h>
 #include <LibCore/time.h>
 #include <LibRouting/retry_budgets.h>
@@ -39,6 +40,7 @@
     bool retriesFailures { false };
     // Retry budget shared by all daemons, if there is one; otherwise each service's configuration sets its budget.
     std::optional<shared_budget_settings> sharedBudget;
+    hedging_mode hedging { hedging_mode::Auto };
 };
 
 // Asks the owner to send the call, with the link's generation filled in, to the daemon as soon as its link is ready,
@@ -82,6 +84,10 @@
     std::uint64_t unknown { 0 };
     std::uint64_t retries { 0 };
     std::uint64_t queries { 0 };
+    // Second runs: sent, answered first, and ended because the first run was answered first.
+    std::uint64_t hedges { 0 };
+    std::uint64_t hedgesWon { 0 };
+    std::uint64_t hedgesWasted { 0 };
 
     bool operator==(call_client_totals const&) const = default;
 };
@@ -139,6 +145,8 @@
     // Makes the refusal for a request that crashes targets.
     call_not_run refusalForCrashes(call_record const&, time_point now) const;
     bool isSuspect(call_record const&, time_point now) const;
+    // Returns the record whose attempt is the one with this id, or null. Of two attempts of a call, the named one
+    // becomes record.attempt.
     call_record* findByAttempt(std::string const& attempt);
     bool joinInProgress(caller_request const&);
     void setDeadlineAndObjective(call_record&, time_point now);
@@ -150,6 +158,7 @@
     // Retries a failed answer at another target if that is allowed; returns false if the answer is final.
     bool retryFailure(call_record&, call_answered const&, time_point now, generator&, actions&);
     void send(call_record&, time_point now, generator&, actions&);
+    void dispatch(call_record&, route_target const&, bool isProbe, time_point now, actions&);
     // Whether the target's daemon is to refuse the call unless it can start at once.
     bool isProbe(call_record const&, route_target const&, time_point now) const;
     call_request makeCall(call_record const&, route_target const&, time_point now) const;
@@ -163,6 +172,17 @@
     void complete(call_record&, final_outcome, actions&);
     void expire(call_record&, time_point now, actions&);
     void cancelAttempt(call_record&, time_point now, actions&);
+    void cancelAttempts(call_record&, time_point now, actions&);
+
+    // Whether the call could get a second run beside the one that it has.
+    bool mayHedge(call_record const&, time_point now) const;
+    void considerSecondRun(call_record&, time_point now, generator&, actions&);
+    // Goes on with the other run of the call after one has ended; returns false if there is no other.
+    static bool continueOtherRun(call_record&);
+    // Records that the current attempt is about to end with an answer.
+    void didAnswerRun(call_record const&, time_point now);
+    // Retries the call if the attempt has waited too long for its link or a reply to a query.
+    void checkAttempt(call_record&, time_point now, generator&, actions&);
 
     void handle(std::string const& address, call_answer const&, time_point now, generator&, actions&);
     void handle(std::string const& address, call_refused const&, time_point now, generator&, actions&);
@@ -170,7 +190,8 @@
     void handle(std::string const& address, call_query_answer const&, time_point now, generator&, actions&);
     void handleStatus(std::string const& address, call_status const&, time_point now, generator&, actions&);
     void handleNeverAdmitted(call_record&, time_point now, generator&, actions&);
-    std::vector<std::string> callsAt(std::string const& address) const;
+    // Ids of the attempts at the daemon.
+    std::vector<std::string> attemptsAt(std::string const& address) const;
 
     call_client_settings m_settings;
     target_chooser m_chooser;
@@ -183,6 +204,7 @@
     std::map<std::string, std::size_t> m_outstanding;
     retry_budgets m_budgets;
     elapsed_time_estimator m_elapsedTimes;
+    hedging m_hedging;
     acknowledgement_batch m_acknowledgements;
     std::uint64_t m_lastAttempt { 0 };
     // Moving average of request plus answer size in bytes, by kind of call.
--- a/Libraries/LibCalls/call_client_frames.cpp
+++ b/Libraries/LibCalls/call_client_frames.cpp
@@ -17,9 +17,12 @@
     m_crashing->didEndWell(record->fingerprint, crashing_requests::run_place::OtherVm, now);
     if (answer.departedStart > 0)
         out.push_back(target_departed { outcome.target, answer.departedStart });
+    didAnswerRun(*record, now);
     endAttempt(*record, { attempt_outcome::Answered, answer.loadPermille, answer.serviceUs, answer.pacePercent }, now);
     if (retryFailure(*record, outcome, now, random, out))
         return;
+    if (continueOtherRun(*record))
+        cancelAttempt(*record, now, out);
     complete(*record, std::move(outcome), out);
 }
 
--- a/Libraries/LibCalls/call_client_retries.cpp
+++ b/Libraries/LibCalls/call_client_retries.cpp
@@ -7,6 +7,13 @@
 
 namespace merlinpier {
 
+namespace {
+
+// Less time than any call between two VMs takes.
+constexpr milliseconds deadlineMargin { 5 };
+
+} // namespace
+
 bool call_client::hasAttemptsLeft(call_record const& record, time_point now) const
 {
     auto const allowed = record.policy.maximumAttempts;
@@ -42,6 +49,12 @@
 {
     if (!hasReachedTarget(refusal.reason))
         --record.arrivals;
+    if (record.secondAttempt) {
+        (isCapacityRefusal(refusal.reason) ? record.probed : record.tried).insert(record.attempt->target.id);
+        endAttempt(record, ending, now);
+        continueOtherRun(record);
+        return;
+    }
     if (record.attempt->isProbe && isCapacityRefusal(refusal.reason)) {
         record.probed.insert(record.attempt->target.id);
         endAttempt(record, ending, now);
@@ -86,14 +99,22 @@
 {
     record.tried.insert(record.attempt->target.id);
     endAttempt(record, { attempt_outcome::Lost, std::nullopt }, now);
+    if (continueOtherRun(record)) {
+        record.mayHaveRun = true;
+        return;
+    }
     bool const isBlocked = m_crashing->standing(record.fingerprint, now) == request_standing::Blocked;
     if (isBlocked)
         message += ", which the request has done to several targets";
-    bool const isAllowed = !isBlocked && (record.policy.isIdempotent || m_settings.retries == retry_policy::Always);
+    // A run that took all the time left is reported as lost a moment before the deadline passes here.
+    bool const isOutOfTime = now + deadlineMargin >= record.deadline;
+    bool const isAllowed
+        = !isBlocked && !isOutOfTime && (record.policy.isIdempotent || m_settings.retries == retry_policy::Always);
     if (!isAllowed || !hasAttemptsLeft(record, now) || !chooseTarget(record, now, random)
         || !tryConsumeBudget(record, now)) {
         message += "; the call may have run: check its effect before repeating it";
-        complete(record, call_outcome_unknown { std::move(message) }, out);
+        auto const cause = isOutOfTime ? unknown_cause::Deadline : unknown_cause::Lost;
+        complete(record, call_outcome_unknown { std::move(message), cause }, out);
         return;
     }
     record.mayHaveRun = true;
@@ -122,6 +143,11 @@
     call_record& record, call_answered const& answered, time_point now, generator& random, actions& out)
 {
     bool const isFailure = isFailureStatus(answered.answer.status);
+    if (isFailure && continueOtherRun(record)) {
+        record.failure = answered;
+        record.mayHaveRun = true;
+        return true;
+    }
     if (answered.answer.isInnerFailure)
         return false;
     if (!m_settings.retriesFailures || !isFailure || !record.policy.isIdempotent || !hasAttemptsLeft(record, now))
--- a/Libraries/LibCalls/call_record.h
+++ b/Libraries/LibCalls/call_record.h
@@ -30,6 +30,10 @@
     // Whether an earlier attempt may have run, so that a later refusal does not prove that the call was not run.
     bool mayHaveRun { false };
     std::optional<call_attempt> attempt;
+    // A further attempt that runs beside the first one; the first good answer wins.
+    std::optional<call_attempt> secondAttempt;
+    // Number of attempts that were sent beside a running one.
+    std::uint32_t secondRuns { 0 };
     // The failed answer of a target, while the call is retried at another target.
     std::optional<call_answered> failure;
     // Number of callers that wait for this outcome: more than one if a key was repeated while the call was in progress.
--- a/Libraries/LibRouting/retry_allowance.h
+++ b/Libraries/LibRouting/retry_allowance.h
@@ -12,6 +12,8 @@
     virtual void didStartCall(time_point now) = 0;
     // Spends one retry; returns false and spends nothing if no retry is allowed now.
     virtual bool tryTake(time_point now) = 0;
+    // Whether at least half of the retries allowed now would be left after one more.
+    virtual bool isHalfLeft(time_point now) const = 0;
 };
 
 } // namespace merlinpier
--- a/Libraries/LibRouting/retry_budget.cpp
+++ b/Libraries/LibRouting/retry_budget.cpp
@@ -35,6 +35,8 @@
     return true;
 }
 
+bool retry_budget::isHalfLeft(time_point now) const { return available(now) >= 1 + maximumBalance / 2; }
+
 double retry_budget::available(time_point now) const
 {
     retry_budget copy = *this;
--- a/Libraries/LibRouting/retry_budget.h
+++ b/Libraries/LibRouting/retry_budget.h
@@ -16,6 +16,7 @@
     // ^retry_allowance
     void didStartCall(time_point now) override;
     bool tryTake(time_point now) override;
+    bool isHalfLeft(time_point now) const override;
     // Tokens that the budget holds now; one retry needs a whole token.
     double available(time_point now) const;
     // Applies the share of a new configuration to later calls; the balance stays.
--- a/Libraries/LibRouting/retry_budgets.cpp
+++ b/Libraries/LibRouting/retry_budgets.cpp
@@ -46,4 +46,12 @@
     return budget != m_localBudgets.end() && budget->second.tryTake(now);
 }
 
+bool retry_budgets::hasSpare(std::string const& service, time_point now) const
+{
+    if (auto const part = m_sharedBudgetParts.find(service); part != m_sharedBudgetParts.end())
+        return part->second.isHalfLeft(now);
+    auto const budget = m_localBudgets.find(service);
+    return budget != m_localBudgets.end() && budget->second.isHalfLeft(now);
+}
+
 } // namespace merlinpier
--- a/Libraries/LibRouting/retry_budgets.h
+++ b/Libraries/LibRouting/retry_budgets.h
@@ -28,6 +28,8 @@
     void didStartCall(std::string const& service, double retriedShare, time_point now);
     // Spends one retry of the service's budget; returns false if the budget allows none or the service is unknown.
     bool tryTake(std::string const& service, time_point now);
+    // Whether at least half of the service's budget is left.
+    bool hasSpare(std::string const& service, time_point now) const;
 
 private:
     std::optional<shared_budget_settings> m_shared;
--- a/Libraries/LibRouting/target_chooser.cpp
+++ b/Libraries/LibRouting/target_chooser.cpp
@@ -38,6 +38,8 @@
 // A call that one target refused is retried at another whose cost is at most this; above it, the caller does better to
 // retry later in its own zone.
 constexpr double maximumRetryCost = 0.7;
+// A service counts as one whose targets announce a pace for this long after the last announcement.
+constexpr milliseconds paceMemory { 10000 };
 
 double warmUpShare(target_observation const& seen, time_point now)
 {
@@ -231,6 +233,15 @@
         found->second.pace = { percent, now };
 }
 
+bool target_chooser::announcesPace(service_route const& service, time_point now) const
+{
+    return std::any_of(service.targets.begin(), service.targets.end(), [&](route_target const& target) {
+        auto const found = m_observations.find(target.id);
+        return found != m_observations.end() && found->second.pace.isKnown()
+            && now - found->second.pace.announcedAt() <= paceMemory;
+    });
+}
+
 std::optional<route_target> target_chooser::chooseForKey(service_route const& service,
     std::set<std::string> const& tried, std::string const& key, key_affinity affinity, time_point now) const
 {
--- a/Libraries/LibRouting/target_chooser.h
+++ b/Libraries/LibRouting/target_chooser.h
@@ -107,6 +107,8 @@
     void didReportServiceTime(std::string const& target, std::string const& kind, duration);
     // Records the target's pace, in percent of the usual time; 0 if the target announces none.
     void didReportPace(std::string const& target, std::uint32_t percent, time_point now);
+    // Whether a target of the service has lately announced a pace.
+    bool announcesPace(service_route const&, time_point now) const;
     // Drops the observations of targets that no service of the snapshot has any more, once no attempt is in flight;
     // starts the slow start of new ones.
     void setSnapshot(routing_snapshot const&, time_point now);
--- a/Libraries/LibRouting/windowed_retry_budget.cpp
+++ b/Libraries/LibRouting/windowed_retry_budget.cpp
@@ -41,13 +41,13 @@
 
 void windowed_retry_budget::didRepeat(double calls, time_point now) { bucketAt(now).retries += calls; }
 
-bool windowed_retry_budget::tryTake(time_point now)
+windowed_retry_budget::window_state windowed_retry_budget::stateAt(time_point now) const
 {
-    auto& current = bucketAt(now);
+    auto const current = bucketNumber(now);
     std::uint32_t calls = 0;
     double retries = 0;
     for (auto const& counted : m_buckets) {
-        auto const age = current.number - counted.number;
+        auto const age = current - counted.number;
         if (counted.number < 0 || age > static_cast<std::int64_t>(bucketsPerWindow))
             continue;
         retries += counted.retries;
@@ -57,11 +57,22 @@
         = m_daemons > 0 ? static_cast<double>(m_settings.minimumRetries) / static_cast<double>(m_daemons) : 0;
     bool const isFirstWindow = !m_firstCallAt || now - *m_firstCallAt < m_settings.window;
     double const share = isFirstWindow ? firstWindowShare : spendableShare;
-    double const allowed = share * (m_settings.retriesPerCall * calls + minimum);
-    if (retries + 1 > allowed)
+    return { retries, share * (m_settings.retriesPerCall * calls + minimum) };
+}
+
+bool windowed_retry_budget::tryTake(time_point now)
+{
+    auto const [spent, allowed] = stateAt(now);
+    if (spent + 1 > allowed)
         return false;
-    ++current.retries;
+    ++bucketAt(now).retries;
     return true;
 }
 
+bool windowed_retry_budget::isHalfLeft(time_point now) const
+{
+    auto const [spent, allowed] = stateAt(now);
+    return spent + 1 <= allowed / 2;
+}
+
 } // namespace merlinpier
--- a/Libraries/LibRouting/windowed_retry_budget.h
+++ b/Libraries/LibRouting/windowed_retry_budget.h
@@ -34,6 +34,7 @@
     // ^retry_allowance
     void didStartCall(time_point now) override;
     bool tryTake(time_point now) override;
+    bool isHalfLeft(time_point now) const override;
     // Counts calls that are repeated by a run that is itself a retry, whether or not the budget allows them. A fraction
     // is the probability that one call is such a call.
     void didRepeat(double calls, time_point now);
@@ -48,7 +49,14 @@
         double retries { 0 };
     };
 
+    // The retries spent in the window, and those allowed in it.
+    struct window_state {
+        double spent { 0 };
+        double allowed { 0 };
+    };
+
     std::int64_t bucketNumber(time_point) const;
+    window_state stateAt(time_point) const;
     // Returns the bucket of the time, cleared if it held an earlier slice.
     bucket& bucketAt(time_point);
 
--- a/Services/Daemon/state_dump.cpp
+++ b/Services/Daemon/state_dump.cpp
@@ -70,6 +70,8 @@
             { "request_limit", limitJson(load.requestLimit) }, { "pace_percent", load.pacePercent } });
     return { { "calls", totals.calls }, { "answered", totals.answered }, { "not_run", totals.notRun },
         { "unknown", totals.unknown }, { "retries", totals.retries }, { "queries", totals.queries },
+        { "second_runs",
+            { { "sent", totals.hedges }, { "won", totals.hedgesWon }, { "wasted", totals.hedgesWasted } } },
         { "unsettled", owner.calls().unsettled() }, { "ejected", owner.calls().ejected() }, { "own_targets", targets },
         { "own_targets_unsettled", owner.targets().unsettled() } };
 }
@@ -158,6 +160,10 @@
     figures.setGauge("merlinpier_control_bytes", static_cast<double>(owner.hub().controlBytes()));
     figures.setGauge("merlinpier_peer_connections", static_cast<double>(totals.connectionsOpen));
     figures.setGauge("merlinpier_retries", static_cast<double>(owner.calls().totals().retries));
+    auto const calls = owner.calls().totals();
+    figures.setGauge("merlinpier_second_runs{outcome=\"sent\"}", static_cast<double>(calls.hedges));
+    figures.setGauge("merlinpier_second_runs{outcome=\"won\"}", static_cast<double>(calls.hedgesWon));
+    figures.setGauge("merlinpier_second_runs{outcome=\"wasted\"}", static_cast<double>(calls.hedgesWasted));
     auto const suspects = owner.crashing().suspects(currentTime());
     auto const blocked = std::count_if(suspects.begin(), suspects.end(),
         [](auto const& suspect) { return suspect.evidence.standing == request_standing::Blocked; });
--- a/Services/Sidecar/main.cpp
+++ b/Services/Sidecar/main.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <platform/client_front.h>
 #include <platform/platform_settings.h>
 #include <platform/platform_store.h>
@@ -225,6 +226,11 @@
            "cost of a kilobyte transferred between availability zones, as the same fraction")
         ->check(CLI::Range(0.0, 10.0))
         ->capture_default_str();
+    app.add_option(
+           "--hedging", given.hedging, "second runs of slow idempotent calls; auto: where targets announce their pace")
+        ->transform(CLI::CheckedTransformer(std::map<std::string, hedging_mode> {
+            { "auto", hedging_mode::Auto }, { "off", hedging_mode::Off }, { "on", hedging_mode::On } }))
+        ->option_text("auto|off|on [auto]");
     app.add_flag("--check-settings", checkOnly, "check the settings, print what is wrong with them and end");
     try {
         app.parse(argumentCount, arguments);
