--- a/Libraries/LibCalls/call_server.cpp
+++ b/Libraries/LibCalls/call_server.cpp
@@ -279,18 +279,11 @@
     return actions;
 }
 
-void call_server::didAnnouncePace(std::string const& target, std::uint32_t percent, time_point now)
-{
-    auto const queue = m_queues.find(target);
-    if (queue == m_queues.end())
-        return;
-    queue->second.setPace({ percent, now });
-    if (m_settings.order == order_choice::Automatic)
-        useServiceOrder(target);
-}
-
 std::vector<server_action> call_server::tick(time_point now)
 {
+    if (!m_startedAt)
+        m_startedAt = now;
+    releaseHeldSlots(now);
     std::vector<server_action> actions;
     for (auto& [target, queue] : m_queues)
         apply(queue.tick(now), now, actions);
@@ -342,7 +335,9 @@
     bool const isUnlimited = m_settings.admission == admission_policy::Unlimited;
     auto const slots = service.answers.slotsPerCopy > 0 ? service.answers.slotsPerCopy : target.slots;
     auto const queueLimit = service.queueLimit > 0 ? service.queueLimit : slots * m_settings.queuedPerSlot;
-    queue.setLimits({ slots, queueLimit, m_settings.deadlineMargin, isUnlimited });
+    auto const found = m_heldSlots.find(call.target);
+    auto const held = found == m_heldSlots.end() ? 0 : std::min(found->second, slots - std::min(slots, 1u));
+    queue.setLimits({ slots - held, queueLimit, m_settings.deadlineMargin, isUnlimited });
     bool const isAutomatic = m_settings.order == order_choice::Automatic;
     if (m_settings.order == order_choice::Value || (isAutomatic && !call.tenant.empty()))
         useServiceOrder(call.target);
--- a/Services/Sidecar/main.cpp
+++ b/Services/Sidecar/main.cpp
@@ -238,6 +238,11 @@
            "announces its pace")
         ->transform(CLI::CheckedTransformer(orders).description("auto|value|deadline"))
         ->default_str("auto");
+    app.add_option(
+           "--hedging", given.hedging, "second runs of slow idempotent calls; auto: where targets announce their pace")
+        ->transform(CLI::CheckedTransformer(std::map<std::string, hedging_mode> {
+            { "auto", hedging_mode::Auto }, { "off", hedging_mode::Off }, { "on", hedging_mode::On } }))
+        ->option_text("auto|off|on [auto]");
     app.add_flag("--check-settings", checkOnly, "check the settings, print what is wrong with them and end");
     try {
         app.parse(argumentCount, arguments);
