LibCalls: Check second runs under faults

A property plays lost, late and duplicate frames, silent links, restarts and refusals while calls have two runs: every call has one true outcome, non-idempotent calls run once, and no attempt stays counted.

--- a/Tests/LibCalls/call_property_test.cpp
+++ b/Tests/LibCalls/call_property_test.cpp
@@ -103,6 +103,33 @@
     EXPECT_GT(2 * outcomes[2], cases);
 }
 
+// Guards against outcomes that are false, missing or given twice where two runs of a call meet faults.
+TEST(CallProperty, EveryCallHasOneTrueOutcomeWithSecondRuns)
+{
+    std::uint64_t hedges = 0;
+    int cases = 0;
+    EXPECT_TRUE(rc::check([&] {
+        ++cases;
+        auto settings = arbitrarySettings();
+        settings.hedging = hedging_mode::On;
+        settings.clients = 1;
+        settings.targets = 3;
+        settings.slots = 20;
+        settings.work = milliseconds(*rc::gen::inRange(20, 120));
+        settings.deadline = milliseconds(*rc::gen::inRange(200, 800));
+        call_simulation simulation(settings);
+        runCalls(simulation, settings.clients, *rc::gen::inRange(100, 200));
+        for (auto const& call : simulation.history())
+            checkOutcome(simulation, call);
+        RC_ASSERT(simulation.client(0).unsettled() == 0u);
+        for (std::size_t target = 0; target < settings.targets; ++target)
+            RC_ASSERT(simulation.client(0).outstanding("vm" + std::to_string(target)) == 0u);
+        hedges += simulation.client(0).totals().hedges;
+    }));
+    // Otherwise the property does not test them.
+    EXPECT_GT(hedges, cases / 2);
+}
+
 TEST(CallProperty, AKeyedCallRunsAtMostOnceWhicheverClientRepeatsIt)
 {
     EXPECT_TRUE(rc::check([] {
--- a/Tests/LibCalls/call_simulation.cpp
+++ b/Tests/LibCalls/call_simulation.cpp
@@ -33,6 +33,7 @@
         call_client_settings clientSettings;
         clientSettings.retries = settings.retries;
         clientSettings.sharedBudget = settings.sharedBudget;
+        clientSettings.hedging = settings.hedging;
         m_clients.push_back({ std::make_unique<call_client>(
                                   clientSettings, chooser_settings { "a", settings.choice }, m_reports[i].decisions),
             ++m_lastInstance, {} });
--- a/Tests/LibCalls/call_simulation.h
+++ b/Tests/LibCalls/call_simulation.h
@@ -47,6 +47,7 @@
     milliseconds reportDelay { 150 };
     // As in call_client_settings.
     std::optional<shared_budget_settings> sharedBudget;
+    hedging_mode hedging { hedging_mode::Auto };
     fault_rates faults;
     std::uint64_t seed { 1 };
 };
