--- a/Tests/platform/platform_rollouts_test.cpp
+++ b/Tests/platform/platform_rollouts_test.cpp
@@ -46,7 +46,7 @@
     {
         m_client.answer = std::move(answer);
         result<stored_rollout> outcome = stored_rollout {};
-        m_store.writeStatus(readRollout(order(nullptr)).value(), { state, "v2", 44, 1234 },
+        m_store.writeStatus(readRollout(json::parse(order(nullptr).dump())).value(), { state, "v2", 44, 1234 },
             [&](auto const& written) { outcome = written; });
         return outcome;
     }
@@ -105,7 +105,7 @@
     EXPECT_EQ(body["status"]["state"], "rolled_back");
     EXPECT_EQ(body["status"]["target_version"], "v2");
     EXPECT_FALSE(body["status"].contains("phase"));
-    write(http_response { 200, {}, order(nullptr).dump() }, rollout_state::Switching);
+    ASSERT_FALSE(write(http_response { 200, {}, order(nullptr).dump() }, rollout_state::Switching).isError());
     auto const switching = json::parse(m_client.requests.back().body)["status"];
     EXPECT_EQ(switching["state"], "running");
     EXPECT_EQ(switching["phase"], "switching");
