Tests/LibCalls: Bound the value of the service order by its stated aim

The checks allowed the measured value less 0.01. They are replaced by the stated aim, 0.95 of the best value known afterwards at 1.2 and 2 times the capacity and no less than the present order; the other checks of each pattern stay in tests of their own.

--- a/Tests/LibCalls/service_value_test.cpp
+++ b/Tests/LibCalls/service_value_test.cpp
@@ -213,12 +213,12 @@
     return compared;
 }
 
-// Checks the share of the best value against the measured one less 0.01, at 1.2 and 2 times the capacity. The minimum
-// share of lower ranks and refusals on arrival cost up to 0.03 of the value that the present order serves.
-void expectValue(comparison const& compared, double load, double atLowLoad, double atHighLoad)
+// The stated aim: at least 0.95 of the best value known afterwards, and no less than the present order serves.
+void expectAim(comparison const& compared, double load)
 {
-    EXPECT_GE(compared.orderedShare(), compared.presentShare() - 0.03) << "at " << load;
-    EXPECT_GE(compared.orderedShare(), load < 2 ? atLowLoad : atHighLoad) << "at " << load;
+    constexpr double aim = 0.95;
+    EXPECT_GE(compared.orderedShare(), aim) << "at " << load;
+    EXPECT_GE(compared.orderedShare(), compared.presentShare()) << "at " << load;
 }
 
 std::string atLoad(std::string const& name, double load) { return name + " at " + std::to_string(load).substr(0, 3); }
@@ -226,21 +226,21 @@
 } // namespace
 
 // Load: more calls of one kind than capacity. All wait until their objective is reached, and many are late.
-TEST(ServiceValue, BurstOfOneKind)
+TEST(ServiceValue, BurstOfOneKindReachesTheAim)
 {
     for (double const load : { 1.2, 2.0 }) {
         auto const compared = compare({ atLoad("burst of one kind", load), { { payment, quietLoad, load } } });
-        expectValue(compared, load, 0.950, 0.869);
+        expectAim(compared, load);
     }
 }
 
 // Load: a route of low urgency fills the target that it shares with the most urgent route.
-TEST(ServiceValue, BurstOfOneKindAmongOthers)
+TEST(ServiceValue, BurstOfOneKindAmongOthersReachesTheAim)
 {
     for (double const load : { 1.2, 2.0 }) {
         auto const compared = compare({ atLoad("burst of downloads beside payments", load),
             { { payment, 0.3, 0.3 }, { download, 0.3, load - 0.3 } } });
-        expectValue(compared, load, 0.985, 0.940);
+        expectAim(compared, load);
     }
 }
 
@@ -251,19 +251,27 @@
         auto const compared = compare({ atLoad("burst of all", load),
             { { payment, 0.15, load / 4 }, { balance, 0.15, load / 4 }, { loan, 0.15, load / 4 },
                 { download, 0.15, load / 4 } } });
-        expectValue(compared, load, 0.932, 0.917);
         EXPECT_GE(compared.ordered.answered.at(0) / compared.ordered.calls.at(0), 0.99);
         EXPECT_GE(compared.ordered.answered.at(2) / compared.ordered.calls.at(2), 0.1);
     }
 }
 
+TEST(ServiceValue, BurstOfAllReachesTheAim)
+{
+    for (double const load : { 1.2, 2.0 }) {
+        auto const compared = compare({ atLoad("burst of all", load),
+            { { payment, 0.15, load / 4 }, { balance, 0.15, load / 4 }, { loan, 0.15, load / 4 },
+                { download, 0.15, load / 4 } } });
+        expectAim(compared, load);
+    }
+}
+
 // Load: short and long calls of one rank. The shorter ones must not be refused more often than the longer ones.
 TEST(ServiceValue, TwoKindsOfOneRank)
 {
     for (double const load : { 1.2, 2.0 }) {
         auto const compared = compare(
             { atLoad("two kinds of one rank", load), { { balance, 0.3, load / 2 }, { loan, 0.3, load / 2 } } });
-        expectValue(compared, load, 0.975, 0.894);
         auto const served = [&](char const* kind) {
             return compared.ordered.inTimeOfKind.at(kind);
         };
@@ -272,6 +280,15 @@
     }
 }
 
+TEST(ServiceValue, TwoKindsOfOneRankReachesTheAim)
+{
+    for (double const load : { 1.2, 2.0 }) {
+        auto const compared = compare(
+            { atLoad("two kinds of one rank", load), { { balance, 0.3, load / 2 }, { loan, 0.3, load / 2 } } });
+        expectAim(compared, load);
+    }
+}
+
 // Load: one tenant sends many times its usual rate and makes the calls of all others late.
 TEST(ServiceValue, HotTenant)
 {
@@ -285,7 +302,6 @@
             parts.push_back({ usual, 0.05, 0.05 });
         }
         auto const compared = compare({ atLoad("hot tenant", load), parts });
-        expectValue(compared, load, 0.933, 0.849);
         auto const inTime = [](order_figures const& figures, bool isHot) {
             double calls = 0;
             double served = 0;
@@ -304,39 +320,55 @@
     }
 }
 
+TEST(ServiceValue, HotTenantReachesTheAim)
+{
+    for (double const load : { 1.2, 2.0 }) {
+        auto hot = payment;
+        hot.tenant = "hot";
+        std::vector<load_part> parts { { hot, 0.1, load - 0.5 } };
+        for (int i = 0; i < 10; ++i) {
+            auto usual = payment;
+            usual.tenant = "tenant" + std::to_string(i);
+            parts.push_back({ usual, 0.05, 0.05 });
+        }
+        auto const compared = compare({ atLoad("hot tenant", load), parts });
+        expectAim(compared, load);
+    }
+}
+
 // Load: a service loses one of its two targets at its usual demand.
-TEST(ServiceValue, LossOfHalfOfTheTargets)
+TEST(ServiceValue, LossOfHalfOfTheTargetsReachesTheAim)
 {
     for (double const load : { 1.2, 2.0 }) {
         std::vector<order_target> const targets { {}, { .goneFrom = begin + quietLength } };
         auto const compared = compare({ atLoad("half of the targets lost", load),
             { { payment, load / 4, load / 4 }, { balance, load / 4, load / 4 } }, targets });
-        expectValue(compared, load, 0.976, 0.932);
+        expectAim(compared, load);
     }
 }
 
 // Failure: the plan depends on estimates of work that are wrong by up to three times.
-TEST(ServiceValue, WorkUnlikeItsEstimate)
+TEST(ServiceValue, WorkUnlikeItsEstimateReachesTheAim)
 {
     for (double const load : { 1.2, 2.0 }) {
         auto const compared = compare({ atLoad("work between a third and three times its estimate", load),
             { { payment, 0.2, load / 2 }, { balance, 0.2, load / 2 } }, { order_target {} }, work_spread::ThreeTimes });
-        expectValue(compared, load, 0.937, 0.843);
+        expectAim(compared, load);
     }
 }
 
 // Load: four of five refused callers do not wait for their time, but repeat after 40 ms, five times.
-TEST(ServiceValue, ClientsThatReturnTogether)
+TEST(ServiceValue, ClientsThatReturnTogetherReachesTheAim)
 {
     for (double const load : { 1.2, 2.0 }) {
         auto const compared = compare({ atLoad("impatient clients", load), { { payment, quietLoad, load } },
             { order_target {} }, work_spread::Half, 0.8 });
-        expectValue(compared, load, 0.953, 0.839);
+        expectAim(compared, load);
     }
 }
 
 // Load: calls that have done their work at one service are refused by the next, which is short of capacity.
-TEST(ServiceValue, ChainWhoseLastServiceIsShort)
+TEST(ServiceValue, ChainWhoseLastServiceIsShortReachesTheAim)
 {
     for (double const load : { 1.2, 2.0 }) {
         auto chained = balance;
@@ -351,7 +383,7 @@
         double const scale = 6.0 / 46;
         auto const compared = compare(
             { atLoad("chain, last service short", load), { { chained, quietLoad * scale, load * scale } }, targets });
-        expectValue(compared, load, 0.949, 0.826);
+        expectAim(compared, load);
     }
 }
 
