--- a/Tests/LibCalls/bulk_admission_test.cpp
+++ b/Tests/LibCalls/bulk_admission_test.cpp
@@ -16,9 +16,9 @@
 constexpr std::uint32_t deadlineMs = 1200;
 
 // A target of many slots, whose daemon knows the speed of its VM's link.
-class BulkAdmission : public testing::Test {
+class BulkAdmissionTest : public testing::Test {
 protected:
-    BulkAdmission()
+    BulkAdmissionTest()
     {
         target_announcement announcement { "t", "slots", "L", "127.0.0.1:9000", target_state::Ready };
         EXPECT_FALSE(m_targets.announce(announcement, 0, start).isError());
@@ -71,7 +71,7 @@
 
 // Guards against a burst of downloads that are all admitted, so that none of them ends in time: 1.2 s of the link hold
 // about 24 answers of 90 KB.
-TEST_F(BulkAdmission, AdmitsOnlyWhatTheLinkCanSendInTime)
+TEST_F(BulkAdmissionTest, AdmitsOnlyWhatTheLinkCanSendInTime)
 {
     learnSize();
     int admitted = 0;
@@ -85,7 +85,7 @@
 }
 
 // Guards against small calls, and downloads that pass no link, that are refused for a full link.
-TEST_F(BulkAdmission, RefusesNothingElseForAFullLink)
+TEST_F(BulkAdmissionTest, RefusesNothingElseForAFullLink)
 {
     learnSize();
     m_server.setLinkBacklog(10'000'000);
@@ -95,7 +95,7 @@
 }
 
 // Guards against a link that counts as idle while answers admitted before wait on it.
-TEST_F(BulkAdmission, CountsTheBytesThatWaitOnTheLink)
+TEST_F(BulkAdmissionTest, CountsTheBytesThatWaitOnTheLink)
 {
     learnSize();
     m_server.setLinkBacklog(1'000'000);
@@ -104,7 +104,7 @@
 }
 
 // Guards against bulk answers that go before other messages: their deadline is what sets them apart on the link.
-TEST_F(BulkAdmission, MarksTheAnswerAsBulk)
+TEST_F(BulkAdmissionTest, MarksTheAnswerAsBulk)
 {
     auto const actions = learnSize();
     ASSERT_FALSE(actions.empty());
