--- a/review/standins/caller.cpp
+++ b/review/standins/caller.cpp
@@ -1,5 +1,6 @@
 // Clients that send a request each --interval-ms, each on a new connection, for --seconds.
-// caller --to IP:PORT --host NAME --path /PREFIX/ --interval-ms N --seconds N --work MS --deadline MS --prefix TEXT --record FILE
+// caller --to IP:PORT --host NAME --path /PREFIX/ --interval-ms N --seconds N --work MS --deadline MS --prefix TEXT
+// --record FILE
 #include "common.h"
 
 int main(int count, char** words)
@@ -20,9 +21,10 @@
                 if (socket >= 0) {
                     timeval const patience { static_cast<time_t>(deadline / 1000 + 1), 0 };
                     setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-                    sendAll(socket, "GET " + given.text("path") + "?work=" + given.text("work", "50") + " HTTP/1.1\r\nHost: "
-                            + given.text("host") + "\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: " + std::to_string(deadline)
-                            + "\r\n\r\n");
+                    sendAll(socket,
+                        "GET " + given.text("path") + "?work=" + given.text("work", "50")
+                            + " HTTP/1.1\r\nHost: " + given.text("host") + "\r\nAttempt-Id: " + id
+                            + "\r\nDeadline-Ms: " + std::to_string(deadline) + "\r\n\r\n");
                     isWhole = reader(socket).next(answer);
                     close(socket);
                 }
--- a/review/standins/common.h
+++ b/review/standins/common.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cerrno>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -14,7 +15,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <csignal>
 #include <string>
 #include <strings.h>
 #include <sys/socket.h>
@@ -25,8 +25,8 @@
 
 inline long long nowMs()
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch()).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
 }
 
 inline void sleepMs(long long ms)
@@ -226,8 +226,8 @@
     std::string m_bytes;
 };
 
-inline std::string response(int status, std::vector<std::pair<std::string, std::string>> const& headers,
-    std::string const& body)
+inline std::string response(
+    int status, std::vector<std::pair<std::string, std::string>> const& headers, std::string const& body)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
     for (auto const& [name, value] : headers)
--- a/review/standins/downloader.cpp
+++ b/review/standins/downloader.cpp
@@ -23,14 +23,16 @@
             reader from(socket);
             auto const fetch = [&](std::string const& id, std::string const& work, std::string const& bytes) {
                 out.line("client " + id + " sent " + std::to_string(nowMs()));
-                sendAll(socket, "GET " + given.text("path") + "?work=" + work + "&bytes=" + bytes + " HTTP/1.1\r\nHost: "
-                        + given.text("host") + "\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: " + std::to_string(deadline)
-                        + "\r\n\r\n");
+                sendAll(socket,
+                    "GET " + given.text("path") + "?work=" + work + "&bytes=" + bytes
+                        + " HTTP/1.1\r\nHost: " + given.text("host") + "\r\nAttempt-Id: " + id
+                        + "\r\nDeadline-Ms: " + std::to_string(deadline) + "\r\n\r\n");
                 message answer;
                 bool const isWhole = from.next(answer);
                 auto const time = std::to_string(nowMs());
                 bool const isGood = isWhole
-                    && (answer.status() != 200 || answer.body == bodyFor(id, std::strtoull(bytes.c_str(), nullptr, 10)));
+                    && (answer.status() != 200
+                        || answer.body == bodyFor(id, std::strtoull(bytes.c_str(), nullptr, 10)));
                 if (isWhole)
                     out.line("client " + id + " answered " + time + " " + std::to_string(answer.status())
                         + (isGood ? "" : " WRONG") + (answer.closes() ? " close" : ""));
--- a/review/standins/pipeliner.cpp
+++ b/review/standins/pipeliner.cpp
@@ -2,7 +2,8 @@
 // pipeliner --to IP:PORT --host NAME --path /PREFIX/ --count N --interval-ms N --work MS [--first-work MS] [--bytes N]
 //   [--abandon-ms N] --deadline MS --prefix TEXT --record FILE [--ready IP:PORT,IP:PORT]
 // With --ready, the first address is this machine's daemon and all are those of its zone: as PROTOCOL.md says of the
-// platform, they are asked once a second, and after two misses no new work is sent while half of the zone or more is in.
+// platform, they are asked once a second, and after two misses no new work is sent while half of the zone or more is
+// in.
 #include "common.h"
 
 #include <deque>
@@ -40,7 +41,8 @@
         }
         bool const may = misses[0] < 2 || 2 * in < zone.size();
         if (may != mayClientsCome)
-            out.line(std::string("platform ") + (may ? "sends clients" : "sends no clients") + " " + std::to_string(nowMs()));
+            out.line(std::string("platform ") + (may ? "sends clients" : "sends no clients") + " "
+                + std::to_string(nowMs()));
         mayClientsCome = may;
         sleepMs(1000);
     }
@@ -108,9 +110,10 @@
             outstanding.push_back(id);
             sentAt[id] = nowMs();
             out.line("client " + id + " sent " + std::to_string(nowMs()));
-            sendAll(socket, "GET " + given.text("path") + "?work=" + work + "&bytes=" + given.text("bytes", "200")
-                    + " HTTP/1.1\r\nHost: " + given.text("host") + "\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: "
-                    + std::to_string(deadline) + "\r\n\r\n");
+            sendAll(socket,
+                "GET " + given.text("path") + "?work=" + work + "&bytes=" + given.text("bytes", "200")
+                    + " HTTP/1.1\r\nHost: " + given.text("host") + "\r\nAttempt-Id: " + id
+                    + "\r\nDeadline-Ms: " + std::to_string(deadline) + "\r\n\r\n");
         }
         sleepMs(given.number("interval-ms", 40));
     }
--- a/review/standins/relay.cpp
+++ b/review/standins/relay.cpp
@@ -16,7 +16,8 @@
         {
             std::lock_guard lock(mutex);
             auto const now = std::chrono::steady_clock::now();
-            tokens = std::min(bytesPerSecond * 0.02, tokens + bytesPerSecond * std::chrono::duration<double>(now - filled).count());
+            tokens = std::min(
+                bytesPerSecond * 0.02, tokens + bytesPerSecond * std::chrono::duration<double>(now - filled).count());
             filled = now;
             if (tokens >= static_cast<double>(bytes)) {
                 tokens -= static_cast<double>(bytes);
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -42,7 +42,8 @@
     ++revision;
     return json { { "metadata",
                       { { "name", name }, { "revision", revision }, { "created_rev", revision },
-                          { "finalizers", finalizers.is_array() ? finalizers : json::array() }, { "deleting", false } } },
+                          { "finalizers", finalizers.is_array() ? finalizers : json::array() },
+                          { "deleting", false } } },
         { "spec", spec }, { "status", nullptr } };
 }
 
--- a/review/standins/worker.cpp
+++ b/review/standins/worker.cpp
@@ -1,8 +1,8 @@
-// A worker, as PROTOCOL.md describes it. The query of a request says how long the work takes and how long the answer is:
-// work=MS and bytes=N. It works on "slots" requests at a time and queues four times as many.
-// worker --listen IP:PORT --id ID --service NAME --zone ZONE --control IP:PORT --slots N --record FILE [--late-ms N]
-// On SIGUSR1 it leaves as the workers do that never say "draining": it sends Deregister, no check-in after that, and goes
-// on serving. With --late-ms, its last check-in before that is under way for so long and arrives late.
+// A worker, as PROTOCOL.md describes it. The query of a request says how long the work takes and how long the answer
+// is: work=MS and bytes=N. It works on "slots" requests at a time and queues four times as many. worker --listen
+// IP:PORT --id ID --service NAME --zone ZONE --control IP:PORT --slots N --record FILE [--late-ms N] On SIGUSR1 it
+// leaves as the workers do that never say "draining": it sends Deregister, no check-in after that, and goes on serving.
+// With --late-ms, its last check-in before that is under way for so long and arrives late.
 #include "common.h"
 
 #include <condition_variable>
@@ -40,7 +40,8 @@
             return 0;
         timeval const second { 1, 0 };
         setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &second, sizeof second);
-        sendAll(socket, "POST " + path + " HTTP/1.1\r\nHost: " + given.text("control")
+        sendAll(socket,
+            "POST " + path + " HTTP/1.1\r\nHost: " + given.text("control")
                 + "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: "
                 + std::to_string(body.size()) + "\r\n\r\n" + body);
         message answer;
@@ -50,16 +51,17 @@
     };
     auto const checkIn = [&](long long sequence) {
         return "{\"address\":\"" + address + "\",\"born\":" + std::to_string(born) + ",\"info\":{\"service\":\""
-            + given.text("service") + "\",\"version\":\"v1\",\"zone\":\"" + given.text("zone") + "\",\"slots\":"
-            + std::to_string(slots) + "},\"status\":{\"state\":\"ready\",\"sequence\":" + std::to_string(sequence)
-            + ",\"cold_left_ms\":0}}";
+            + given.text("service") + "\",\"version\":\"v1\",\"zone\":\"" + given.text("zone")
+            + "\",\"slots\":" + std::to_string(slots)
+            + "},\"status\":{\"state\":\"ready\",\"sequence\":" + std::to_string(sequence) + ",\"cold_left_ms\":0}}";
     };
     std::thread([&] {
         for (long long sequence = 1;; ++sequence) {
             if (mustLeave) {
                 auto const late = given.number("late-ms", 0);
                 if (late > 0)
-                    record.line("worker " + id + " check-in " + std::to_string(sequence) + " sent " + std::to_string(nowMs()));
+                    record.line(
+                        "worker " + id + " check-in " + std::to_string(sequence) + " sent " + std::to_string(nowMs()));
                 int status = 0;
                 while (status / 100 != 2)
                     status = call("/v1/Instances.Deregister/" + id, "{}");
@@ -68,7 +70,8 @@
                     sleepMs(late);
                     while (call("/v1/Instances.Heartbeat/" + id, checkIn(sequence)) == 0)
                         sleepMs(50);
-                    record.line("worker " + id + " check-in " + std::to_string(sequence) + " arrived " + std::to_string(nowMs()));
+                    record.line("worker " + id + " check-in " + std::to_string(sequence) + " arrived "
+                        + std::to_string(nowMs()));
                 }
                 return;
             }
