LibMembership: Send applied versions of VMs without a record

Callers saw nothing: two daemons that compare their tables stay different until the next exchange, so a version may count as not applied some seconds longer.

Cause: a digest is answered with records, and an applied version that came before its VM's record has none. The table that knows only the version sends nothing, takes over the other's record, and differs.

--- a/Libraries/LibMembership/membership_table.cpp
+++ b/Libraries/LibMembership/membership_table.cpp
@@ -163,6 +163,10 @@
         else if (differs(membershipBucketCount + bucket) && record.appliedVersion > 0)
             different.push_back(appliedVersionOnly(vm, record.appliedVersion));
     }
+    for (auto const& [vm, version] : m_appliedVersions) {
+        if (!find(vm) && differs(bucketIndex(vm)))
+            different.push_back(appliedVersionOnly(vm, version));
+    }
     return different;
 }
 
--- a/Libraries/LibMembership/membership_table.h
+++ b/Libraries/LibMembership/membership_table.h
@@ -41,8 +41,9 @@
     std::uint64_t digest() const;
     // One digest per bucket over the records, followed by one per bucket over the applied versions.
     std::vector<std::uint64_t> bucketDigests() const;
-    // The records of every bucket whose digest differs from the other table's. For buckets that differ only in the
-    // applied versions, records with nothing but the applied version.
+    // The records of every bucket whose digest differs from the other table's, and the applied versions of its VMs
+    // without a record. For buckets that differ only in the applied versions, records with nothing but the applied
+    // version.
     std::vector<member_record> differingRecords(std::vector<std::uint64_t> const& otherBuckets) const;
     // Drops records that have been Gone, and applied versions without a live record, for longer than the retention
     // time, which runs from the first call of expire() that finds them so.
