Daemon: Store departures before a planned stop ends

Cause: with the store away a departure is acknowledged after 0.7 s and its write is retried with a back-off of up to 2.5 s. The planned stop waited for calls and answers only, and ended between two of these writes, 0.8 s after the store had come back.

A planned stop now ends when the store has every departure too, at the latest when the drain times out, and the write is retried after 0.15 to 0.25 s meanwhile. Both programs stop that way.

--- a/Libraries/LibMembership/member_registry.cpp
+++ b/Libraries/LibMembership/member_registry.cpp
@@ -161,6 +161,12 @@
         [&](auto const& recent) { return now - recent.at < m_settings.departureRetention; });
 }
 
+void member_registry::prepareToEnd(time_point now)
+{
+    m_isEnding = true;
+    m_isUrgent |= hasUnstoredDepartures(now);
+}
+
 void member_registry::stop()
 {
     m_isStopped = true;
@@ -281,8 +287,10 @@
 
 void member_registry::backOff(time_point now, generator& source)
 {
-    auto const ceiling = std::min(
-        m_settings.firstBackOff * (1U << std::min(m_failures++, maximumDoublings)), m_settings.longestBackOff);
+    bool const isHurried = m_isEnding && hasUnstoredDepartures(now);
+    unsigned const doublings = isHurried ? 0 : std::min(m_failures, maximumDoublings);
+    ++m_failures;
+    auto const ceiling = std::min(m_settings.firstBackOff * (1U << doublings), m_settings.longestBackOff);
     m_nextRequestTime = now + jittered(ceiling, source);
 }
 
--- a/Libraries/LibMembership/member_registry.h
+++ b/Libraries/LibMembership/member_registry.h
@@ -123,6 +123,11 @@
     // Whether the store is known to hold all departures that the entry has to keep.
     bool hasStoredDepartures() const { return m_isRegistered; }
     bool hasRecentDepartures(time_point now) const;
+    // Whether there are departures that the entry has to keep and that the store is not known to hold.
+    bool hasUnstoredDepartures(time_point now) const { return !m_isRegistered && hasRecentDepartures(now); }
+    // The process ends soon: departures that are not stored are written at once, and failed writes are retried without
+    // long waits.
+    void prepareToEnd(time_point now);
     // Whether the departures that earlier processes of this daemon stored are known.
     bool knowsEarlierDepartures() const { return m_knowsEarlierDepartures; }
     std::vector<target_departure> const& earlierDepartures() const { return m_earlierDepartures; }
@@ -171,6 +176,7 @@
     std::vector<target_departure> m_earlierDepartures;
     std::vector<std::string> m_unreadableEntries;
     bool m_isStopped { false };
+    bool m_isEnding { false };
     bool m_mustRemoveOwn { false };
     bool m_isRequestPending { false };
     time_point m_nextRequestTime {};
--- a/Services/Daemon/discovery.cpp
+++ b/Services/Daemon/discovery.cpp
@@ -35,6 +35,12 @@
     tick();
 }
 
+void discovery::prepareToEnd()
+{
+    m_registry.prepareToEnd(currentTime());
+    tick();
+}
+
 void discovery::recordDeparture(target_departure const& departure, std::function<void(durability)> acknowledge)
 {
     auto const now = currentTime();
--- a/Services/Daemon/discovery.h
+++ b/Services/Daemon/discovery.h
@@ -28,6 +28,10 @@
     // The target has left, or is used again: the order to drain it, which names no incarnation, ends.
     void endOrder(std::string const& target);
     bool hasRecentDepartures() const { return m_registry.hasRecentDepartures(currentTime()); }
+    // Whether there are departures that the store is not known to hold.
+    bool hasUnstoredDepartures() const { return m_registry.hasUnstoredDepartures(currentTime()); }
+    // The process ends soon: departures that are not stored are written at once, and again soon after a failure.
+    void prepareToEnd();
 
 private:
     struct waiting_acknowledgement {
--- a/Services/Daemon/main.cpp
+++ b/Services/Daemon/main.cpp
@@ -84,7 +84,7 @@
             return;
         if (!departures.hasRecentDepartures())
             departures.stop();
-        underWay.emplace(process, *server.value(), late_connections::Accepted, [&] { loop->exit(); });
+        underWay.emplace(process, departures, *server.value(), late_connections::Accepted, [&] { loop->exit(); });
     };
     auto const logTimer = loop->subscribe(logFlushPeriod, [] { flushLog(); });
     loop->run();
--- a/Services/Sidecar/main.cpp
+++ b/Services/Sidecar/main.cpp
@@ -37,6 +37,8 @@
 constexpr milliseconds settingsPollPeriod { 5000 };
 // A process on the own VM accepts or refuses a connection well within this time.
 constexpr milliseconds targetCheckTimeout { 200 };
+// How often a process that only waits for the store to take a departure looks whether the target has ended.
+constexpr milliseconds targetCheckPeriod { 500 };
 constexpr char const* settingsVariable = "MERLINPIER_CONFIG";
 constexpr char const* defaultSettingsPath = "/etc/merlinpier/settings.json";
 
@@ -128,7 +130,7 @@
         if (m_daemon.isDraining())
             return;
         removeEntry();
-        m_stop.emplace(m_daemon, *m_clientServer, late_connections::Refused, [this] { m_loop.exit(); });
+        m_stop.emplace(m_daemon, m_discovery, *m_clientServer, late_connections::Refused, [this] { m_loop.exit(); });
     }
 
     // The entry in the store stays if it keeps the departure of a target that still runs: it binds the next process.
@@ -141,6 +143,8 @@
         m_http.checkListener(m_settings.targetAddress, targetCheckTimeout, [this](listener_state state) {
             if (state == listener_state::Refusing)
                 m_discovery.stop();
+            else if (m_discovery.hasUnstoredDepartures())
+                m_targetTimer = m_loop.subscribeOnce(targetCheckPeriod, [this] { removeEntry(); });
         });
     }
 
@@ -185,6 +189,7 @@
     std::unique_ptr<loop_http_server> m_readinessServer;
     std::unique_ptr<loop_http_server> m_operatorServer;
     std::optional<planned_stop> m_stop;
+    timer_subscription m_targetTimer;
 };
 
 int serve(std::string content, platform::platform_settings settings, std::uint16_t metricsPort)
--- a/Tests/LibMembership/member_registry_test.cpp
+++ b/Tests/LibMembership/member_registry_test.cpp
@@ -199,6 +199,28 @@
     EXPECT_TRUE(tick(seconds(3)).empty());
 }
 
+// A process that is about to end has no time for long waits between its writes.
+TEST_F(RegistryTest, RetriesOftenBeforeItsEndWhileADepartureIsNotStored)
+{
+    auto callsWithin = [&](duration from, duration period) {
+        int calls = 0;
+        for (auto after = from; after < from + period; after += milliseconds(20)) {
+            if (tick(after).empty())
+                continue;
+            ++calls;
+            m_registry.didWrite(unavailable, start + after, m_source);
+        }
+        return calls;
+    };
+    m_registry.didDepart({ "i-1", 42 }, start);
+    callsWithin(seconds(0), seconds(10));
+    EXPECT_LE(callsWithin(seconds(10), seconds(2)), 2);
+    m_registry.prepareToEnd(start + seconds(12));
+    EXPECT_FALSE(tick(seconds(12)).empty()) << "the first write is not delayed";
+    m_registry.didWrite(unavailable, start + seconds(12), m_source);
+    EXPECT_GE(callsWithin(seconds(12), seconds(2)), 7);
+}
+
 // A relay may have written the entry again; its revision is then another one.
 TEST_F(RegistryTest, RemovesItsEntryWhateverItsRevisionHasBecome)
 {
--- a/Tests/platform/departed_worker_test.cpp
+++ b/Tests/platform/departed_worker_test.cpp
@@ -1,12 +1,15 @@
 #include "emulated_store.h"
 
 #include <LibLoop/loop_http_client.h>
+#include <LibLoop/loop_http_server.h>
 #include <Services/Daemon/daemon.h>
 #include <Services/Daemon/discovery.h>
+#include <Services/Daemon/planned_stop.h>
 #include <Tests/LibLoop/loop_fixture.h>
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <memory>
+#include <optional>
 #include <platform/platform_store.h>
 #include <platform/sidecar_settings.h>
 #include <platform/worker_dialect.h>
@@ -22,6 +25,8 @@
 using merlinpier::fixture::runUntil;
 
 constexpr milliseconds longestAcknowledgement { 1000 };
+constexpr milliseconds leaveNotice { 200 };
+constexpr milliseconds drainTimeout { 2000 };
 
 class recording_responder final : public http_responder {
 public:
@@ -67,6 +72,14 @@
     return settings;
 }
 
+daemon_settings makeDaemonSettings(platform_settings const& settings)
+{
+    auto made = daemonSettingsFrom(settings, 9464);
+    made.leaveNotice = leaveNotice;
+    made.drainTimeout = drainTimeout;
+    return made;
+}
+
 // One process of the only daemon of a fleet. Its loop is its own, so that nothing of it runs after its end.
 class daemon_process {
 public:
@@ -74,7 +87,7 @@
         : m_http(*m_loop, {})
         , m_remoteStore(*m_loop, store)
         , m_store(m_remoteStore, "10.0.0.9:1")
-        , m_daemon(daemonSettingsFrom(m_settings, 9464), { *m_loop, m_http, m_store, m_dialect })
+        , m_daemon(makeDaemonSettings(m_settings), { *m_loop, m_http, m_store, m_dialect })
         , m_discovery(
               m_daemon, { .vm = m_daemon.settings().vm, .address = m_daemon.settings().advertisedAddress }, m_store)
         , m_workers(m_daemon, m_discovery, m_settings)
@@ -105,6 +118,15 @@
                 + R"(,"info":{"service":"slots","zone":"a","slots":6},"status":{"state":")" + state + R"(","sequence":)"
                 + std::to_string(sequence) + R"(,"cold_left_ms":0}})");
     }
+    // Begins a planned stop.
+    void stop()
+    {
+        m_callers
+            = loop_http_server::tryCreate(*m_loop, parseEndpoint("127.0.0.1:0").value(), {}, m_workers).releaseValue();
+        m_stop.emplace(m_daemon, m_discovery, *m_callers, late_connections::Refused, [this] { m_hasStopped = true; });
+    }
+    bool hasStopped() const { return m_hasStopped; }
+
     int deregister(std::string const& body = "{}") { return report("/v1/Instances.Deregister/i-1", body); }
 
     event_loop& loop() { return *m_loop; }
@@ -124,6 +146,9 @@
     mutable daemon m_daemon;
     discovery m_discovery;
     worker_front m_workers;
+    std::unique_ptr<loop_http_server> m_callers;
+    std::optional<planned_stop> m_stop;
+    bool m_hasStopped { false };
 };
 
 class DepartedWorkerTest : public testing::Test {
@@ -136,10 +161,22 @@
         m_process.reset();
         m_process = std::make_unique<daemon_process>(m_store);
         // The first check-in comes a moment after the start.
-        auto const started = currentTime();
-        runUntil(m_process->loop(), [&] { return currentTime() - started >= milliseconds(50); });
+        runFor(milliseconds(50));
         return *m_process;
     }
+    void runFor(duration period)
+    {
+        auto const until = currentTime() + period;
+        runUntil(m_process->loop(), [&] { return currentTime() >= until; });
+    }
+    // Longer than the first waits between writes that fail.
+    void departWhileTheStoreIsDown()
+    {
+        EXPECT_EQ(m_process->checkIn(1), 200);
+        m_store.isDown = true;
+        EXPECT_EQ(m_process->deregister(), 200);
+        runFor(seconds(2));
+    }
 
     fixture::emulated_store m_store;
     std::unique_ptr<daemon_process> m_process;
@@ -225,6 +262,33 @@
     EXPECT_EQ(m_process->workerState(), target_state::Draining);
 }
 
+// Guards against a departure that is forgotten, since the process that acknowledged it ends between two of the writes
+// that it retries.
+TEST_F(DepartedWorkerTest, IsStoredBeforeAPlannedStopEnds)
+{
+    departWhileTheStoreIsDown();
+    m_process->stop();
+    runFor(leaveNotice * 2);
+    EXPECT_FALSE(m_process->hasStopped());
+    m_store.isDown = false;
+    auto const storeReturned = currentTime();
+    EXPECT_TRUE(runUntil(m_process->loop(), [&] { return m_process->hasStopped(); }));
+    EXPECT_LT(currentTime() - storeReturned, milliseconds(1000));
+    EXPECT_EQ(restart().checkIn(2), 200);
+    EXPECT_EQ(m_process->workerState(), target_state::Draining);
+}
+
+// A store that stays away does not keep the process.
+TEST_F(DepartedWorkerTest, KeepsAPlannedStopNoLongerThanADrain)
+{
+    departWhileTheStoreIsDown();
+    auto const begin = currentTime();
+    m_process->stop();
+    EXPECT_TRUE(runUntil(m_process->loop(), [&] { return m_process->hasStopped(); }));
+    EXPECT_GE(currentTime() - begin, drainTimeout);
+    EXPECT_LT(currentTime() - begin, drainTimeout + milliseconds(500));
+}
+
 // A process that cannot ask the store trusts the second check-in in a row, since only one may arrive late.
 TEST_F(DepartedWorkerTest, ConfirmsAWorkerByItsNextCheckInWhileTheStoreIsDown)
 {
