LibMembership: Restore departures that a restored store has lost

By reading: a target leaves, the store has its departure, and then comes back from a copy made before. The target's daemon does not call the store, so it writes the departure again only at its next listing, up to 25 s later. If all daemons are lost until then, the next process uses a target that has left.

Cause: relays notice the new era and write entries that are missing, with the address alone, but did not look what the entries that are there have lost.

Relays now compare the entries with the departures that their members publish, and write what is missing on condition that the entry has the revision that they have read. One call for each entry that lacks a departure, only after a restore.

RegistryTest.RelayRestoresDeparturesThatTheStoreHasLost fails with the comparison taken out, and passes with it, as do the other tests of TestLibMembership.

--- a/Libraries/LibMembership/member_registry.cpp
+++ b/Libraries/LibMembership/member_registry.cpp
@@ -23,6 +23,18 @@
     return record && record->state == member_state::Gone && record->address == address;
 }
 
+// Adds the departures of the VM's targets that its daemon has published.
+std::vector<target_departure> withDepartures(std::vector<target_departure> departures, member_record const& record)
+{
+    for (auto const& target : record.targets) {
+        target_departure const published { target.id, target.departedStart };
+        bool const isKnown = std::find(departures.begin(), departures.end(), published) != departures.end();
+        if (target.departedStart > 0 && !isKnown)
+            departures.push_back(published);
+    }
+    return departures;
+}
+
 bool isLiveMember(membership_table const& table, std::string const& vm, std::string const& address)
 {
     auto const* record = table.find(vm);
@@ -222,7 +234,7 @@
         auto const known = m_entries.find(object.key);
         auto const notLiveSince
             = known != m_entries.end() && known->second.revision == object.revision ? known->second.notLiveSince : now;
-        listed.emplace(object.key, entry { address, object.revision, notLiveSince });
+        listed.emplace(object.key, entry { address, object.revision, read.value().departures, notLiveSince });
         if (!isDeparted(table, vmOf(object.key), address))
             addresses.push_back(address);
     }
@@ -253,18 +265,35 @@
     auto const* self = table.find(m_settings.vm);
     for (auto const& [vm, record] : table.records()) {
         bool const isInOwnZone = self && record.zone == self->zone && vm != m_settings.vm;
-        if (isInOwnZone && record.state == member_state::Alive && !m_entries.contains(memberEntryPrefix + vm))
+        if (!isInOwnZone || record.state != member_state::Alive)
+            continue;
+        auto const known = m_entries.find(memberEntryPrefix + vm);
+        if (known == m_entries.end() || lacksDepartures(known->second, record))
             m_lostEntries.push_back(vm);
     }
 }
 
+bool member_registry::lacksDepartures(entry const& listed, member_record const& record)
+{
+    return listed.address == record.address && withDepartures(listed.departures, record) != listed.departures;
+}
+
+restore_entry member_registry::restoredEntry(member_record const& record) const
+{
+    auto const key = memberEntryPrefix + record.vm;
+    auto const known = m_entries.find(key);
+    auto const listed = known == m_entries.end() ? entry {} : known->second;
+    member_entry const restored { record.address, withDepartures(listed.departures, record) };
+    return { key, serializeMemberEntry(restored), listed.revision };
+}
+
 void member_registry::restoreLostEntries(membership_table const& table, std::vector<registry_action>& actions)
 {
     std::size_t const count = std::min(m_lostEntries.size(), m_settings.restoredEntriesPerTick);
     for (std::size_t i = 0; i < count; ++i) {
         auto const* record = table.find(m_lostEntries.back());
         if (record && record->state == member_state::Alive)
-            actions.emplace_back(restore_entry { memberEntryPrefix + record->vm, record->address });
+            actions.emplace_back(restoredEntry(*record));
         m_lostEntries.pop_back();
     }
 }
--- a/Libraries/LibMembership/member_registry.h
+++ b/Libraries/LibMembership/member_registry.h
@@ -35,10 +35,12 @@
     std::uint64_t revision { 0 };
     bool operator==(remove_entry const&) const = default;
 };
-// Asks the caller to write the entry of another live daemon if it does not exist. The outcome is not reported.
+// Asks the caller to write the entry of another live daemon on condition that it has the revision, or that it does not
+// exist if that is 0. The outcome is not reported.
 struct restore_entry {
     std::string key;
     std::string value;
+    std::uint64_t expectedRevision { 0 };
     bool operator==(restore_entry const&) const = default;
 };
 // Asks the caller to remove this daemon's own entry, provided that it still has this revision, and to report the
@@ -81,10 +83,10 @@
 // others as seeds to join through. Once a daemon has contact with others, its membership no longer depends on the
 // store. Entries do not expire in the store, so relays remove those of daemons that are gone.
 //
-// A store that was restored from an older copy has lost the newest entries and has those of departed daemons again. The
-// relays of each zone notice the new era, list the entries and write the missing ones of their zone's live members, as
-// most daemons have no reason to call the store themselves. Entries of known departed daemons are not returned as
-// seeds. Failed requests are retried with backoff.
+// A store that was restored from an older copy has lost the newest entries and departures and has the entries of
+// departed daemons again. The relays of each zone notice the new era, list the entries and write what is missing of
+// their zone's live members, as most daemons have no reason to call the store themselves. Entries of known departed
+// daemons are not returned as seeds. Failed requests are retried with backoff.
 //
 // The entry also keeps the departures of the VM's targets that were acknowledged, so that a daemon that starts again
 // knows them even if no other daemon outlived it. The first write of a process succeeds only if there is no entry;
@@ -138,6 +140,7 @@
     struct entry {
         std::string address;
         std::uint64_t revision { 0 };
+        std::vector<target_departure> departures;
         time_point notLiveSince {};
     };
 
@@ -156,8 +159,10 @@
     void backOff(time_point now, generator&);
     // Starts over with the entries of a store that was restored from an older copy.
     void didRestoreStore(time_point now, generator&);
-    // Notes the live members of the own zone that have no entry.
+    // Notes the live members of the own zone that have no entry, or whose entry lacks a departure.
     void findLostEntries(membership_table const&);
+    static bool lacksDepartures(entry const& listed, member_record const&);
+    restore_entry restoredEntry(member_record const&) const;
     void restoreLostEntries(membership_table const&, std::vector<registry_action>&);
     void removeStaleEntries(membership_table const&, time_point now, std::vector<registry_action>&);
 
@@ -188,7 +193,7 @@
     std::uint64_t m_storeEra { 0 };
     // Whether the next listing is the first after a restore of the store.
     bool m_findsLostEntries { false };
-    // VMs whose entries a restore has lost and that are still to be written again.
+    // VMs whose entries, or departures in them, a restore has lost and that are still to be written again.
     std::vector<std::string> m_lostEntries;
     unsigned m_failures { 0 };
 };
--- a/Services/Daemon/discovery.cpp
+++ b/Services/Daemon/discovery.cpp
@@ -135,11 +135,12 @@
 void discovery::carryOut(restore_entry const& wanted)
 {
     logInfo("entry_restored", { { "entry", wanted.key } });
-    m_store.write(wanted.key, wanted.value, { 0 }, [key = wanted.key](result<stored_object> const& outcome) {
-        // A conflict means that another daemon has written it.
-        if (outcome.isError() && outcome.failure().kind != error_kind::Conflict)
-            logWarning("entry_not_restored", { { "entry", key }, { "reason", outcome.failure().text() } });
-    });
+    m_store.write(wanted.key, wanted.value, { wanted.expectedRevision },
+        [key = wanted.key](result<stored_object> const& outcome) {
+            // A conflict means that another daemon has written it.
+            if (outcome.isError() && outcome.failure().kind != error_kind::Conflict)
+                logWarning("entry_not_restored", { { "entry", key }, { "reason", outcome.failure().text() } });
+        });
 }
 
 void discovery::carryOut(remove_entry const& wanted)
--- a/Tests/LibMembership/member_registry_test.cpp
+++ b/Tests/LibMembership/member_registry_test.cpp
@@ -134,6 +134,45 @@
         [](auto const& action) { return std::holds_alternative<remove_entry>(action); }));
 }
 
+// Guards against a departed target that is used again, since the store was restored from a copy made before it left and
+// its daemon, which does not call the store, was then lost with all others.
+TEST_F(RegistryTest, RelayRestoresDeparturesThatTheStoreHasLost)
+{
+    auto addMember = [&](std::string const& vm, char const* zone, std::uint64_t departedStart) {
+        member_record record;
+        record.vm = vm;
+        record.address = vm + ":7000";
+        record.zone = zone;
+        record.incarnation = 1;
+        record.targets = { { .id = "t", .departedStart = departedStart }, { .id = "other" } };
+        m_table.merge(record);
+    };
+    addMember("10.0.0.1", "a", 0);
+    addMember("10.0.0.2", "a", 42);
+    addMember("10.0.0.3", "a", 43);
+    addMember("10.0.0.4", "a", 44);
+    addMember("10.0.0.5", "b", 45);
+    auto entry = [](std::string const& vm, std::string const& departures) {
+        return stored_object { memberEntryPrefix + vm, 7, vm + ":7000" + departures };
+    };
+    tick(milliseconds(0), { true, true, 1 });
+    m_registry.didWrite(ownRevision, start, m_source);
+    std::vector<registry_action> restored;
+    for (auto after = milliseconds(100); after < seconds(3); after += milliseconds(100)) {
+        for (auto const& action : tick(after, { true, true, 2 })) {
+            if (std::holds_alternative<list_entries>(action))
+                list({ entry("10.0.0.1", ""), entry("10.0.0.2", " s 41"), entry("10.0.0.3", " t 43"),
+                         entry("10.0.0.5", "") },
+                    after);
+            else
+                restored.push_back(action);
+        }
+    }
+    EXPECT_EQ(restored,
+        (std::vector<registry_action> { restore_entry { "merlinpier-members/10.0.0.4", "10.0.0.4:7000 t 44", 0 },
+            restore_entry { "merlinpier-members/10.0.0.2", "10.0.0.2:7000 s 41 t 42", 7 } }));
+}
+
 namespace {
 
 error const taken { error_kind::Conflict, "the entry exists", "" };
