Tests/LibLoop: Cut frames at their first part

Cause, by a trace of 60 runs: the tests look every millisecond whether the first part has come and then cut the frame. On this machine all 3.5 MB may be through by then: in all 36 failures nothing waited to be sent, and in 24 the frame had been handed on. A frame that was sent whole before the close is rightly handed on.

--- a/Tests/LibLoop/loop_transport_test.cpp
+++ b/Tests/LibLoop/loop_transport_test.cpp
@@ -2,9 +2,11 @@
 
 #include <LibLoop/loop_transport.h>
 #include <algorithm>
+#include <functional>
 #include <gtest/gtest.h>
 #include <map>
 #include <random>
+#include <utility>
 #include <vector>
 
 namespace merlinpier {
@@ -25,7 +27,12 @@
     void didAccept(connection_id id, endpoint const&) override { accepted.push_back(id); }
     void didConnect(connection_id id) override { connected.push_back(id); }
     void didReceiveFrame(connection_id, std::string frame) override { frames.push_back(std::move(frame)); }
-    void didReceivePart(connection_id) override { ++parts; }
+    void didReceivePart(connection_id) override
+    {
+        ++parts;
+        if (auto const action = std::exchange(atNextPart, nullptr))
+            action();
+    }
     void didReceiveBytes(connection_id) override { ++pieces; }
     void didClose(connection_id id, error) override { closed.push_back(id); }
 
@@ -34,6 +41,8 @@
     std::vector<connection_id> closed;
     std::vector<std::string> frames;
     int parts { 0 };
+    // Called once, with the next part.
+    std::function<void()> atNextPart;
     // Times that bytes came without a whole frame or part.
     int pieces { 0 };
 };
@@ -130,8 +139,11 @@
 {
     m_target->allowParts(accepted());
     m_target->sendBulk(accepted(), drawBytes(3500000, 1), { "withdrawn", currentTime() + seconds(10) });
+    m_originEvents.atNextPart = [&] {
+        EXPECT_GT(m_target->totals().bulkBytesWaiting, 0U) << "the frame has been sent whole";
+        m_target->withdraw(accepted(), "withdrawn");
+    };
     ASSERT_TRUE(fixture::runUntil(*m_loop, [&] { return m_originEvents.parts > 0; }));
-    m_target->withdraw(accepted(), "withdrawn");
     EXPECT_EQ(m_target->totals().bulkBytesWaiting, 0U);
     m_target->send(accepted(), "after it");
     auto const next = drawBytes(100000, 2);
@@ -144,8 +156,10 @@
 {
     m_target->allowParts(accepted());
     m_target->sendBulk(accepted(), drawBytes(3500000, 1), { "cut", currentTime() + seconds(10) });
-    ASSERT_TRUE(fixture::runUntil(*m_loop, [&] { return m_originEvents.parts > 0; }));
-    m_target->close(accepted());
+    m_originEvents.atNextPart = [&] {
+        EXPECT_GT(m_target->totals().bulkBytesWaiting, 0U) << "the frame has been sent whole";
+        m_target->close(accepted());
+    };
     ASSERT_TRUE(fixture::runUntil(*m_loop, [&] { return !m_originEvents.closed.empty(); }));
     EXPECT_TRUE(m_originEvents.frames.empty());
     EXPECT_EQ(m_target->totals().bulkBytesWaiting, 0U);
