LibCore: Refuse JSON text with a zero byte

One entry of the store, one report of a target, a settings file or a questionnaire that is cut, or was overwritten in part, counts as whole, and splitJson() and parseJson() disagree on it.

Cause: the parser takes a zero byte for the end of its input. JSON text has none: control characters are escaped in strings (RFC 8259, section 7).

Both readers of documents from outside refuse it.

--- a/Libraries/LibCore/json_object_reader.cpp
+++ b/Libraries/LibCore/json_object_reader.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/json_object_reader.h>
 
+#include <LibCore/json_text.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -67,6 +68,9 @@
                 + " are allowed",
             "shorten it" };
     }
+    if (hasZeroByte(text))
+        return error { error_kind::BadInput, source + " has a zero byte",
+            "remove it and check that the text is whole" };
     parse_watcher watcher;
     auto callback = [&](int, nlohmann::json::parse_event_t event, nlohmann::json& parsed) {
         return watcher.didMeet(event, parsed);
--- a/Libraries/LibCore/json_text.cpp
+++ b/Libraries/LibCore/json_text.cpp
@@ -111,12 +111,16 @@
     scanner.takeValue();
     if (scanner.deepest() > maximumDepth)
         return corrupt("JSON that is nested by more than " + std::to_string(maximumDepth) + " levels");
+    if (hasZeroByte(text))
+        return corrupt("JSON with a zero byte");
     auto value = nlohmann::json::parse(text, nullptr, false);
     if (value.is_discarded())
         return corrupt("malformed JSON, or a number out of range");
     return value;
 }
 
+bool hasZeroByte(std::string_view text) { return text.find('\0') != std::string_view::npos; }
+
 std::string writeJson(nlohmann::json const& value)
 {
     return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/Libraries/LibCore/json_text.h
+++ b/Libraries/LibCore/json_text.h
@@ -25,6 +25,9 @@
 // nested so deeply that copying it could overflow the stack.
 result<nlohmann::json> parseJson(std::string_view);
 
+// The parser takes a zero byte for the end of the text, so what follows it would go unread. JSON text has none.
+bool hasZeroByte(std::string_view);
+
 // Writes a document. Bytes that are no UTF-8, as names that other processes choose may have, are replaced.
 std::string writeJson(nlohmann::json const&);
 
--- a/Tests/LibCore/json_text_test.cpp
+++ b/Tests/LibCore/json_text_test.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/json_object_reader.h>
 #include <LibCore/json_text.h>
 
 #include <gtest/gtest.h>
@@ -5,6 +6,8 @@
 
 namespace merlinpier {
 
+using namespace std::string_view_literals;
+
 namespace {
 
 std::string nested(std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); }
@@ -52,6 +55,15 @@
     EXPECT_TRUE(parseJson(std::string(1'000'000, '[')).isError());
 }
 
+// Guards against text of which only the part before a zero byte is read.
+TEST(JsonText, RefusesAZeroByte)
+{
+    for (auto const text : { "{\"a\":1}\0 }"sv, "{\"a\":1}\0"sv, "{\"a\0\":1}"sv, "\0"sv }) {
+        EXPECT_TRUE(parseJson(text).isError());
+        EXPECT_TRUE(parseStrictJson(text, text.size(), "the text").isError());
+    }
+}
+
 // Guards against one odd part that hides the others.
 TEST(JsonText, ReadsTheOtherPartsBesideAnOddOne)
 {
