LibWire: Refuse numbers that are not aligned

No daemon writes such a frame, but anything may connect to the peer port.

Cause: the library's verifier looks at the alignment of a vector's length and not of its elements. The digest is the only vector of numbers in the schema.

--- a/Libraries/LibWire/wire_reader.cpp
+++ b/Libraries/LibWire/wire_reader.cpp
@@ -33,6 +33,11 @@
 {
     if (vector == nullptr || !spend(vector->size() * sizeof(std::uint64_t)))
         return {};
+    // The verifier looks at the alignment of a vector's length only.
+    if (reinterpret_cast<std::uintptr_t>(vector->data()) % alignof(std::uint64_t) != 0) {
+        fail("numbers are not aligned");
+        return {};
+    }
     return { vector->begin(), vector->end() };
 }
 
--- a/Tests/LibWire/message_test.cpp
+++ b/Tests/LibWire/message_test.cpp
@@ -97,6 +97,28 @@
     expectCorrupt(finished(builder, wire::CreateFrame(builder, wire::Body::CallRefused, body)));
 }
 
+// Guards against reads that are undefined: the library verifies the alignment of a vector's length, but not of its
+// elements.
+TEST(Message, IsRefusedWithNumbersThatAreNotAligned)
+{
+    int refused = 0;
+    for (std::size_t const padding : { 0U, 4U }) {
+        flatbuffers::FlatBufferBuilder builder;
+        builder.CreateString(std::string(sizeof(std::uint64_t), 'x'));
+        // One element, of which the first byte is its own and the rest those of the string.
+        auto const buckets = builder.CreateVector(std::vector<std::uint8_t> { 1 });
+        // Shifts what lies before it by four bytes in one of the two cases.
+        builder.CreateString(std::string(padding, 'y'));
+        auto const body
+            = wire::CreateMembershipDigest(builder, flatbuffers::Offset<flatbuffers::Vector<std::uint64_t>>(buckets.o))
+                  .Union();
+        auto const decoded
+            = decodeMessage(finished(builder, wire::CreateFrame(builder, wire::Body::MembershipDigest, body)));
+        refused += decoded.isError() && decoded.failure().message.find("not aligned") != std::string::npos;
+    }
+    EXPECT_EQ(refused, 1);
+}
+
 // Without a bound, a message of a few kilobytes that names one string a thousand times unfolds into megabytes.
 TEST(Message, IsRefusedWhenItUnfoldsIntoMoreThanItsSize)
 {
