--- a/review/standins-2/stand_ins.h
+++ b/review/standins-2/stand_ins.h
@@ -526,26 +526,34 @@
         return m_runs;
     }
     std::string const& id() const { return m_id; }
+    // The worker makes no check-ins of its own any more.
+    void stop_reporting() { m_is_reporting = false; }
+    // What the worker says of itself next, with the next sequence.
+    std::string next_report()
+    {
+        json const beat { { "address", m_machine.worker() }, { "born", m_born },
+            { "info",
+                { { "service", m_machine.service }, { "version", "v1" }, { "zone", m_machine.zone },
+                    { "slots", m_slots } } },
+            { "status", { { "state", "ready" }, { "sequence", ++m_sequence }, { "cold_left_ms", 0 } } } };
+        return beat.dump();
+    }
+    // Calls the daemon of the own machine; returns whether it acknowledged within a second.
+    bool call_control(std::string const& call, std::string const& body)
+    {
+        auto to = connection::open(m_machine.control(), 500);
+        message ack;
+        return to.is_open()
+            && to.send("POST /v1/Instances." + call + "/" + m_id + " HTTP/1.1\r\nHost: control\r\n"
+                + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)
+            && to.read(ack, 1000) == connection::outcome::Whole && ack.status() == 200;
+    }
 
 private:
     void report()
     {
-        while (true) {
-            json const beat { { "address", m_machine.worker() }, { "born", m_born },
-                { "info",
-                    { { "service", m_machine.service }, { "version", "v1" }, { "zone", m_machine.zone },
-                        { "slots", m_slots } } },
-                { "status", { { "state", "ready" }, { "sequence", ++m_sequence }, { "cold_left_ms", 0 } } } };
-            auto const body = beat.dump();
-            auto to = connection::open(m_machine.control(), 500);
-            message ack;
-            if (to.is_open())
-                to.send("POST /v1/Instances.Heartbeat/" + m_id + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
-                    + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-            bool const is_taken
-                = to.is_open() && to.read(ack, 1000) == connection::outcome::Whole && ack.status() == 200;
-            pause_for(is_taken ? 1500 : 250);
-        }
+        while (m_is_reporting)
+            pause_for(call_control("Heartbeat", next_report()) ? 1500 : 250);
     }
 
     void serve(connection& client)
@@ -587,7 +595,8 @@
     int m_slots;
     recorder& m_record;
     std::uint64_t m_born;
-    std::uint64_t m_sequence { 0 };
+    std::atomic<std::uint64_t> m_sequence { 0 };
+    std::atomic<bool> m_is_reporting { true };
     std::atomic<int> m_running { 0 };
     std::mutex m_lock;
     std::vector<run> m_runs;
