--- a/review/standins-2/departure_unstored.cpp
+++ b/review/standins-2/departure_unstored.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-constexpr int store_down_ms = 4500;
-constexpr int leave_after_ms = 1500;
-constexpr int restart_ms = 1000;
-constexpr int late_by_ms = 3500;
-constexpr int drain_ms = 2000;
-constexpr int stable_window_ms = 3000;
-constexpr int serves_on_ms = 13000;
-constexpr int deadline_ms = 1200;
+constexpr int storeDownMs = 4500;
+constexpr int leaveAfterMs = 1500;
+constexpr int restartMs = 1000;
+constexpr int lateByMs = 3500;
+constexpr int drainMs = 2000;
+constexpr int stableWindowMs = 3000;
+constexpr int servesOnMs = 13000;
+constexpr int deadlineMs = 1200;
 
 } // namespace
 
@@ -22,13 +22,13 @@
     std::string const root = argv[1];
     std::string const folder = argv[2];
     recorder record(argv[3]);
-    bool const has_trouble = std::atoi(argv[4]) != 0;
+    bool const hasTrouble = std::atoi(argv[4]) != 0;
     std::signal(SIGPIPE, SIG_IGN);
     auto const net = network();
     store objects(net + "250:8309", record);
     std::vector<machine> const machines { { net + "1", "zone-a", "slots" }, { net + "2", "zone-b", "slots" },
         { net + "3", "zone-c", "halls" }, { net + "4", "zone-c", "halls" } };
-    objects.write_configuration(configuration(
+    objects.writeConfiguration(configuration(
         "00000001", { route("catalogue", "/catalogue/", "idempotent", "halls", 1200, 400) }, { "slots", "halls" }));
     platform host(root, folder, objects.address(), record);
     for (auto const& where : machines)
@@ -36,30 +36,32 @@
     std::vector<std::unique_ptr<worker>> workers;
     for (auto const& where : machines) {
         workers.push_back(std::make_unique<worker>(where, "i-" + where.ip, 6, record));
-        workers.back()->work = [](message const&) { return 40; };
+        workers.back()->work = [](message const&) {
+            return 40;
+        };
     }
-    if (!host.wait_until_ready(machines, 8000))
+    if (!host.waitUntilReady(machines, 8000))
         return 2;
-    pause_for(5000);
+    pauseFor(5000);
     // Clients of the machines of other zones, one request each at a time.
-    std::atomic<bool> is_over { false };
+    std::atomic<bool> isOver { false };
     std::mutex lock;
-    std::map<std::string, double> sent_at;
+    std::map<std::string, double> sentAt;
     std::vector<std::thread> clients;
     for (std::size_t i = 0; i < 2; ++i) {
         for (int k = 0; k < 6; ++k)
             clients.emplace_back([&, i, k] {
-                for (int n = 1; !is_over; ++n) {
+                for (int n = 1; !isOver; ++n) {
                     auto const attempt = "page" + std::to_string(i) + "-" + std::to_string(k) + "-" + std::to_string(n);
                     {
                         std::lock_guard const guard(lock);
-                        sent_at[attempt] = record.now();
+                        sentAt[attempt] = record.now();
                     }
                     auto to = connection::open(machines[i].outbound(), 500);
                     message answer;
-                    if (to.is_open() && to.send(request("GET", "/catalogue/1", attempt, deadline_ms)))
-                        to.read(answer, deadline_ms);
-                    pause_for(20);
+                    if (to.isOpen() && to.send(request("GET", "/catalogue/1", attempt, deadlineMs)))
+                        to.read(answer, deadlineMs);
+                    pauseFor(20);
                 }
             });
     }
@@ -67,70 +69,71 @@
     std::set<std::string> every;
     for (auto const& where : machines)
         every.insert(where.ip);
-    pause_for(1000);
-    double const down_at = record.now();
-    if (has_trouble) {
+    pauseFor(1000);
+    double const downAt = record.now();
+    if (hasTrouble) {
         record.line("the store is down: it answers the daemons' calls with 503");
-        objects.turn_away(every);
+        objects.turnAway(every);
     }
-    pause_for(leave_after_ms);
-    leaving.stop_reporting();
-    auto const late_report = leaving.next_report();
-    double const reported_at = record.now();
-    record.line("worker %s sends a check-in, which will arrive %.1f s late", leaving.id().c_str(), late_by_ms / 1000.0);
-    pause_for(100);
-    bool const is_acknowledged = leaving.call_control("Deregister", leaving.next_report());
-    double const acknowledged_at = record.now();
+    pauseFor(leaveAfterMs);
+    leaving.stopReporting();
+    auto const lateReport = leaving.nextReport();
+    double const reportedAt = record.now();
+    record.line("worker %s sends a check-in, which will arrive %.1f s late", leaving.id().c_str(), lateByMs / 1000.0);
+    pauseFor(100);
+    bool const isAcknowledged = leaving.callControl("Deregister", leaving.nextReport());
+    double const acknowledgedAt = record.now();
     record.line("worker %s deregisters: %s; it goes on serving", leaving.id().c_str(),
-        is_acknowledged ? "acknowledged" : "not acknowledged");
-    if (!is_acknowledged)
+        isAcknowledged ? "acknowledged" : "not acknowledged");
+    if (!isAcknowledged)
         return 2;
-    double started_at = acknowledged_at;
-    if (has_trouble) {
+    double startedAt = acknowledgedAt;
+    if (hasTrouble) {
         for (auto const& where : machines)
             host.signal(where, SIGKILL);
         for (auto const& where : machines)
-            host.wait_for_end(where, 1000);
-        pause_for(restart_ms);
+            host.waitForEnd(where, 1000);
+        pauseFor(restartMs);
         for (auto const& where : machines)
             host.start(where, false);
-        started_at = record.now();
+        startedAt = record.now();
     }
-    double const back_at = down_at + store_down_ms / 1000.0;
-    double const arrives_at = reported_at + late_by_ms / 1000.0;
+    double const backAt = downAt + storeDownMs / 1000.0;
+    double const arrivesAt = reportedAt + lateByMs / 1000.0;
     std::thread late([&] {
-        while (record.now() < arrives_at)
-            pause_for(5);
-        bool const is_taken = leaving.call_control("Heartbeat", late_report);
-        record.line("the late check-in arrives: %s", is_taken ? "acknowledged" : "not acknowledged");
+        while (record.now() < arrivesAt)
+            pauseFor(5);
+        bool const isTaken = leaving.callControl("Heartbeat", lateReport);
+        record.line("the late check-in arrives: %s", isTaken ? "acknowledged" : "not acknowledged");
     });
-    while (record.now() < back_at)
-        pause_for(5);
-    if (has_trouble) {
-        objects.turn_away({});
+    while (record.now() < backAt)
+        pauseFor(5);
+    if (hasTrouble) {
+        objects.turnAway({});
         record.line("the store is back");
     }
-    while (record.now() < acknowledged_at + serves_on_ms / 1000.0)
-        pause_for(10);
-    is_over = true;
+    while (record.now() < acknowledgedAt + servesOnMs / 1000.0)
+        pauseFor(10);
+    isOver = true;
     late.join();
     for (auto& client : clients)
         client.join();
-    double const in_touch_from = (has_trouble ? std::max(started_at, back_at) : acknowledged_at) + stable_window_ms / 1000.0;
-    double const bound_from = std::max(in_touch_from, acknowledged_at + drain_ms / 1000.0);
+    double const inTouchFrom = (hasTrouble ? std::max(startedAt, backAt) : acknowledgedAt) + stableWindowMs / 1000.0;
+    double const boundFrom = std::max(inTouchFrom, acknowledgedAt + drainMs / 1000.0);
     int broken = 0;
     int total = 0;
     for (auto const& run : leaving.runs()) {
         ++total;
-        if (sent_at[run.attempt] < bound_from || run.at < acknowledged_at + drain_ms / 1000.0)
+        if (sentAt[run.attempt] < boundFrom || run.at < acknowledgedAt + drainMs / 1000.0)
             continue;
         if (++broken <= 5)
             record.line("DRAIN: %s, sent %.3f s after the acknowledgement by a machine in touch, reached worker %s",
-                run.attempt.c_str(), sent_at[run.attempt] - acknowledged_at, leaving.id().c_str());
+                run.attempt.c_str(), sentAt[run.attempt] - acknowledgedAt, leaving.id().c_str());
     }
-    record.line("%d requests reached the worker in time in touch, later than drain_ms after the acknowledgement (%d in all)",
+    record.line(
+        "%d requests reached the worker in time in touch, later than drain_ms after the acknowledgement (%d in all)",
         broken, total);
     record.line("rule DRAIN: %s", broken > 0 ? "broken" : "held");
-    host.end_all();
+    host.endAll();
     std::_Exit(broken > 0 ? 1 : 0);
 }
--- a/review/standins-2/stand_ins.h
+++ b/review/standins-2/stand_ins.h
@@ -40,7 +40,7 @@
 using clock_type = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-inline void pause_for(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
+inline void pauseFor(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
 
 // Writes one line for each event to record.txt, with the time in seconds since the start.
 class recorder {
@@ -69,10 +69,10 @@
 };
 
 struct message {
-    std::string start_line;
+    std::string startLine;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
-    bool has_length { true };
+    bool hasLength { true };
 
     std::optional<std::string> header(char const* name) const
     {
@@ -84,7 +84,7 @@
     }
     std::string word(int index) const
     {
-        std::istringstream words(start_line);
+        std::istringstream words(startLine);
         std::string text;
         for (int i = 0; i <= index; ++i)
             words >> text;
@@ -93,7 +93,7 @@
     int status() const { return std::atoi(word(1).c_str()); }
 };
 
-inline sockaddr_in socket_address(std::string const& address)
+inline sockaddr_in socketAddress(std::string const& address)
 {
     auto const colon = address.rfind(':');
     sockaddr_in result {};
@@ -123,17 +123,17 @@
     }
     ~connection() { close(); }
 
-    static connection open(std::string const& address, int timeout_ms = 1000)
+    static connection open(std::string const& address, int timeoutMs = 1000)
     {
         int const socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         int const flags = fcntl(socket, F_GETFL);
         fcntl(socket, F_SETFL, flags | O_NONBLOCK);
-        auto const to = socket_address(address);
+        auto const to = socketAddress(address);
         if (::connect(socket, reinterpret_cast<sockaddr const*>(&to), sizeof to) != 0) {
             pollfd wait { socket, POLLOUT, 0 };
             int failure = 0;
             socklen_t size = sizeof failure;
-            if (errno != EINPROGRESS || poll(&wait, 1, timeout_ms) != 1
+            if (errno != EINPROGRESS || poll(&wait, 1, timeoutMs) != 1
                 || getsockopt(socket, SOL_SOCKET, SO_ERROR, &failure, &size) != 0 || failure != 0) {
                 ::close(socket);
                 return connection();
@@ -145,7 +145,7 @@
         return connection(socket);
     }
 
-    bool is_open() const { return m_socket >= 0; }
+    bool isOpen() const { return m_socket >= 0; }
     int socket() const { return m_socket; }
     // The IP number of the other side.
     std::string peer() const
@@ -181,17 +181,17 @@
         return true;
     }
     // Whether the other side has closed the connection.
-    bool has_ended(int wait_ms)
+    bool hasEnded(int waitMs)
     {
         pollfd wait { m_socket, POLLRDHUP, 0 };
-        return poll(&wait, 1, wait_ms) > 0 && (wait.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+        return poll(&wait, 1, waitMs) > 0 && (wait.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
 
     enum class outcome { Whole, Closed, TimedOut };
     // Reads one message, a body included. A response without a length ends with the connection.
-    outcome read(message& into, int timeout_ms)
+    outcome read(message& into, int timeoutMs)
     {
-        auto const until = clock_type::now() + milliseconds(timeout_ms);
+        auto const until = clock_type::now() + milliseconds(timeoutMs);
         std::size_t end = 0;
         while ((end = m_buffer.find("\r\n\r\n")) == std::string::npos) {
             if (auto const got = fill(until); got != outcome::Whole)
@@ -201,7 +201,7 @@
         std::istringstream lines(m_buffer.substr(0, end));
         std::string line;
         std::getline(lines, line);
-        into.start_line = line.substr(0, line.find('\r'));
+        into.startLine = line.substr(0, line.find('\r'));
         while (std::getline(lines, line)) {
             line = line.substr(0, line.find('\r'));
             auto const colon = line.find(':');
@@ -212,7 +212,7 @@
         }
         m_buffer.erase(0, end + 4);
         auto const length = into.header("Content-Length");
-        into.has_length = length.has_value();
+        into.hasLength = length.has_value();
         std::size_t const size = length ? std::strtoull(length->c_str(), nullptr, 10) : 0;
         while (m_buffer.size() < size) {
             if (auto const got = fill(until); got != outcome::Whole)
@@ -252,7 +252,7 @@
         m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         int const on = 1;
         setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        auto const at = socket_address(address);
+        auto const at = socketAddress(address);
         if (bind(m_socket, reinterpret_cast<sockaddr const*>(&at), sizeof at) != 0 || listen(m_socket, 1024) != 0) {
             std::fprintf(stderr, "cannot listen on %s\n", address.c_str());
             std::_Exit(2);
@@ -303,15 +303,15 @@
     std::string const& address() const { return m_address; }
 
     // Turns these callers away with 503, which means that nothing was done; their waiting watches end.
-    void turn_away(std::set<std::string> callers)
+    void turnAway(std::set<std::string> callers)
     {
         {
             std::lock_guard const guard(m_lock);
-            m_turned_away = std::move(callers);
+            m_turnedAway = std::move(callers);
         }
         m_changed.notify_all();
     }
-    void write_configuration(json const& spec)
+    void writeConfiguration(json const& spec)
     {
         {
             std::lock_guard const guard(m_lock);
@@ -326,24 +326,25 @@
         std::uint64_t revision;
         std::string key;
         json object;
-        bool is_deleted;
+        bool isDeleted;
     };
 
     json& put(std::string const& key, json const& spec, json const& finalizers)
     {
         auto const known = m_objects.find(key);
-        auto const created = known == m_objects.end() ? m_revision + 1 : known->second["metadata"]["created_rev"].get<std::uint64_t>();
+        auto const created
+            = known == m_objects.end() ? m_revision + 1 : known->second["metadata"]["created_rev"].get<std::uint64_t>();
         ++m_revision;
         auto& object = m_objects[key];
         object = { { "metadata",
-                       { { "name", key.substr(key.find('/') + 1) }, { "revision", m_revision }, { "created_rev", created },
-                           { "finalizers", finalizers }, { "deleting", false } } },
+                       { { "name", key.substr(key.find('/') + 1) }, { "revision", m_revision },
+                           { "created_rev", created }, { "finalizers", finalizers }, { "deleting", false } } },
             { "spec", spec }, { "status", nullptr } };
         m_changes.push_back({ m_revision, key, object, false });
         return object;
     }
 
-    static std::map<std::string, std::string> query_of(std::string const& target)
+    static std::map<std::string, std::string> queryOf(std::string const& target)
     {
         std::map<std::string, std::string> query;
         auto const mark = target.find('?');
@@ -361,19 +362,20 @@
         auto const caller = client.peer();
         while (client.read(request, 60'000) == connection::outcome::Whole) {
             auto [status, body] = answer(request, caller);
-            if (is_turned_away(caller)) {
+            if (isTurnedAway(caller)) {
                 status = 503;
                 body = json::object();
             }
-            if (!client.send(response(status, { { "Content-Type", "application/json" }, { "Store-Era", "1" } }, body.dump())))
+            if (!client.send(
+                    response(status, { { "Content-Type", "application/json" }, { "Store-Era", "1" } }, body.dump())))
                 return;
         }
     }
 
-    bool is_turned_away(std::string const& caller)
+    bool isTurnedAway(std::string const& caller)
     {
         std::lock_guard const guard(m_lock);
-        return m_turned_away.count(caller) > 0;
+        return m_turnedAway.count(caller) > 0;
     }
 
     std::pair<int, json> answer(message const& request, std::string const& caller)
@@ -385,29 +387,29 @@
         if (path.rfind(prefix, 0) != 0)
             return { 404, json::object() };
         auto key = path.substr(prefix.size());
-        auto query = query_of(target);
-        bool const is_list = key.find('/') == std::string::npos;
+        auto query = queryOf(target);
+        bool const isList = key.find('/') == std::string::npos;
         std::unique_lock guard(m_lock);
-        if (m_turned_away.count(caller) > 0)
+        if (m_turnedAway.count(caller) > 0)
             return { 503, json::object() };
         if (method == "GET" && query.count("watch") > 0) {
             auto const after = std::strtoull(query["watch"].c_str(), nullptr, 10);
             auto const wait = std::chrono::milliseconds(std::atoi(query["wait_ms"].c_str()));
             auto const matches = [&](change const& candidate) {
-                bool const fits = is_list ? candidate.key.rfind(key + "/", 0) == 0 : candidate.key == key;
+                bool const fits = isList ? candidate.key.rfind(key + "/", 0) == 0 : candidate.key == key;
                 return fits && candidate.revision > after;
             };
-            m_changed.wait_for(guard, wait, [&] { 
-                return m_turned_away.count(caller) > 0 || std::any_of(m_changes.begin(), m_changes.end(), matches);
+            m_changed.wait_for(guard, wait, [&] {
+                return m_turnedAway.count(caller) > 0 || std::any_of(m_changes.begin(), m_changes.end(), matches);
             });
             json events = json::array();
             for (auto const& candidate : m_changes) {
                 if (matches(candidate))
-                    events.push_back({ { "object", candidate.object }, { "deleted", candidate.is_deleted } });
+                    events.push_back({ { "object", candidate.object }, { "deleted", candidate.isDeleted } });
             }
             return { 200, { { "events", events }, { "current_rev", m_revision } } };
         }
-        if (method == "GET" && is_list) {
+        if (method == "GET" && isList) {
             json items = json::array();
             for (auto const& [name, object] : m_objects) {
                 if (name.rfind(key + "/", 0) == 0)
@@ -453,7 +455,7 @@
 
     std::string m_address;
     recorder& m_record;
-    std::set<std::string> m_turned_away;
+    std::set<std::string> m_turnedAway;
     std::mutex m_lock;
     std::condition_variable m_changed;
     std::map<std::string, json> m_objects;
@@ -462,7 +464,7 @@
     server m_server;
 };
 
-inline std::uint64_t hash_of(std::string const& text)
+inline std::uint64_t hashOf(std::string const& text)
 {
     std::uint64_t hash = 14695981039346656037ULL;
     for (unsigned char const character : text)
@@ -470,11 +472,11 @@
     return hash;
 }
 
-inline std::string signature_of(std::string const& attempt, int status, std::string const& body)
+inline std::string signatureOf(std::string const& attempt, int status, std::string const& body)
 {
     char text[64];
     std::snprintf(text, sizeof text, "%016llx",
-        static_cast<unsigned long long>(hash_of(attempt + "|" + std::to_string(status) + "|" + body)));
+        static_cast<unsigned long long>(hashOf(attempt + "|" + std::to_string(status) + "|" + body)));
     return text;
 }
 
@@ -483,7 +485,7 @@
     std::string ip;
     std::string zone;
     std::string service;
-    int memory_mb { 260 };
+    int memoryMb { 260 };
 
     std::string inbound() const { return ip + ":8300"; }
     std::string worker() const { return ip + ":8301"; }
@@ -501,7 +503,7 @@
         std::string path;
         std::string instance;
         double at;
-        std::size_t body_bytes;
+        std::size_t bodyBytes;
     };
 
     worker(machine where, std::string id, int slots, recorder& record)
@@ -517,8 +519,12 @@
     }
 
     // How long a request takes, in milliseconds, and the size of its answer.
-    std::function<int(message const&)> work = [](message const&) { return 60; };
-    std::function<std::size_t(message const&)> answer_bytes = [](message const&) { return 400; };
+    std::function<int(message const&)> work = [](message const&) {
+        return 60;
+    };
+    std::function<std::size_t(message const&)> answerBytes = [](message const&) {
+        return 400;
+    };
 
     std::vector<run> runs()
     {
@@ -527,9 +533,9 @@
     }
     std::string const& id() const { return m_id; }
     // The worker makes no check-ins of its own any more.
-    void stop_reporting() { m_is_reporting = false; }
+    void stopReporting() { m_isReporting = false; }
     // What the worker says of itself next, with the next sequence.
-    std::string next_report()
+    std::string nextReport()
     {
         json const beat { { "address", m_machine.worker() }, { "born", m_born },
             { "info",
@@ -539,21 +545,22 @@
         return beat.dump();
     }
     // Calls the daemon of the own machine; returns whether it acknowledged within a second.
-    bool call_control(std::string const& call, std::string const& body)
+    bool callControl(std::string const& call, std::string const& body)
     {
         auto to = connection::open(m_machine.control(), 500);
         message ack;
-        return to.is_open()
+        return to.isOpen()
             && to.send("POST /v1/Instances." + call + "/" + m_id + " HTTP/1.1\r\nHost: control\r\n"
-                + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)
+                + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                + body)
             && to.read(ack, 1000) == connection::outcome::Whole && ack.status() == 200;
     }
 
 private:
     void report()
     {
-        while (m_is_reporting)
-            pause_for(call_control("Heartbeat", next_report()) ? 1500 : 250);
+        while (m_isReporting)
+            pauseFor(callControl("Heartbeat", nextReport()) ? 1500 : 250);
     }
 
     void serve(connection& client)
@@ -576,15 +583,15 @@
             }
             m_record.line("worker %s runs %s %s (%zu bytes)", m_id.c_str(), attempt.c_str(), request.word(1).c_str(),
                 request.body.size());
-            bool const is_dropped = client.has_ended(work(request));
+            bool const isDropped = client.hasEnded(work(request));
             --m_running;
-            if (is_dropped) {
+            if (isDropped) {
                 m_record.line("worker %s drops %s, its connection was closed", m_id.c_str(), attempt.c_str());
                 return;
             }
-            std::string const body(answer_bytes(request), 'a');
+            std::string const body(answerBytes(request), 'a');
             client.send(response(200,
-                { { "Attempt-Id", attempt }, { "Response-Signature", signature_of(attempt, 200, body) },
+                { { "Attempt-Id", attempt }, { "Response-Signature", signatureOf(attempt, 200, body) },
                     { "Server-Load", std::to_string(m_running.load()) + ",0," + std::to_string(m_slots) } },
                 body));
         }
@@ -596,7 +603,7 @@
     recorder& m_record;
     std::uint64_t m_born;
     std::atomic<std::uint64_t> m_sequence { 0 };
-    std::atomic<bool> m_is_reporting { true };
+    std::atomic<bool> m_isReporting { true };
     std::atomic<int> m_running { 0 };
     std::mutex m_lock;
     std::vector<run> m_runs;
@@ -606,10 +613,10 @@
 // Starts, signals and ends the daemons, as the platform does.
 class platform {
 public:
-    platform(std::string root, std::string folder, std::string store_address, recorder& record)
+    platform(std::string root, std::string folder, std::string storeAddress, recorder& record)
         : m_root(std::move(root))
         , m_folder(std::move(folder))
-        , m_store(std::move(store_address))
+        , m_store(std::move(storeAddress))
         , m_record(record)
     {
         std::ifstream deploy(m_root + "/deploy/system.toml");
@@ -618,20 +625,20 @@
                 m_command = line.substr(7, line.rfind('"') - 7);
         }
     }
-    ~platform() { end_all(); }
+    ~platform() { endAll(); }
 
-    void start(machine const& where, bool is_first)
+    void start(machine const& where, bool isFirst)
     {
-        auto const settings_path = m_folder + "/" + where.ip + ".json";
+        auto const settingsPath = m_folder + "/" + where.ip + ".json";
         json const settings { { "node", "sidecar-" + where.ip }, { "role", "daemon" }, { "machine_class", "sidecar" },
             { "serves", { "sidecar" } }, { "ip", where.ip }, { "zone", where.zone }, { "region", "r" },
             { "listen",
                 { { "inbound", where.inbound() }, { "outbound", where.outbound() }, { "ready_address", where.ready() },
                     { "control", where.control() } } },
-            { "port_range", { 7620, 7635 } }, { "seeds", json::array() }, { "first_start", is_first },
+            { "port_range", { 7620, 7635 } }, { "seeds", json::array() }, { "first_start", isFirst },
             { "loss_counted", false },
             { "limits",
-                { { "cpu_share", 0.2 }, { "cores", 1 }, { "memory_mb", where.memory_mb }, { "max_fds", 4100 },
+                { { "cpu_share", 0.2 }, { "cores", 1 }, { "memory_mb", where.memoryMb }, { "max_fds", 4100 },
                     { "link_mbps", 1000.0 }, { "disk_mb", 0 } } },
             { "data_dir", nullptr }, { "discovery", "static" }, { "entry", "static" }, { "beat_interval_ms", 1500 },
             { "contracts", { "base", "drain", "config", "cost", "retry", "recover", "platform" } },
@@ -645,19 +652,19 @@
             { "platform",
                 { { "address", m_store }, { "form", "objects" }, { "writes_per_s", 400 }, { "reads_per_s", 2000 },
                     { "history_s", 20 }, { "value_bytes", 1048576 }, { "ttl_min_ms", 1000 } } } };
-        std::ofstream(settings_path) << settings.dump(1);
+        std::ofstream(settingsPath) << settings.dump(1);
         std::vector<std::string> words;
         std::istringstream command(m_command);
         for (std::string word; command >> word;)
             words.push_back(word);
         words.front() = m_root + "/" + words.front();
-        std::string const variable = "MERLINPIER_CONFIG=" + settings_path;
+        std::string const variable = "MERLINPIER_CONFIG=" + settingsPath;
         auto const log = m_folder + "/" + where.ip + ".log";
         pid_t const parent = getpid();
         pid_t const child = fork();
         if (child == 0) {
             // The daemon ends with the test program, however that ends.
-            prctl_end_with_parent(parent);
+            prctlEndWithParent(parent);
             int const out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(out, 1);
             dup2(out, 2);
@@ -689,9 +696,9 @@
             ::kill(child, number);
     }
     // Waits for the end of the process; returns whether it ended in time.
-    bool wait_for_end(machine const& where, int timeout_ms)
+    bool waitForEnd(machine const& where, int timeoutMs)
     {
-        auto const until = clock_type::now() + milliseconds(timeout_ms);
+        auto const until = clock_type::now() + milliseconds(timeoutMs);
         auto const child = process(where);
         while (clock_type::now() < until) {
             if (child <= 0 || waitpid(child, nullptr, WNOHANG) == child) {
@@ -700,12 +707,12 @@
                 m_record.line("the daemon of %s has ended", where.ip.c_str());
                 return true;
             }
-            pause_for(5);
+            pauseFor(5);
         }
         return false;
     }
     // Memory of the process that is its own, in megabytes: without program files and shared libraries.
-    static double memory_mb(pid_t process)
+    static double memoryMb(pid_t process)
     {
         std::ifstream status("/proc/" + std::to_string(process) + "/status");
         for (std::string line; std::getline(status, line);) {
@@ -714,24 +721,24 @@
         }
         return 0;
     }
-    bool wait_until_ready(std::vector<machine> const& machines, int timeout_ms)
+    bool waitUntilReady(std::vector<machine> const& machines, int timeoutMs)
     {
-        auto const until = clock_type::now() + milliseconds(timeout_ms);
+        auto const until = clock_type::now() + milliseconds(timeoutMs);
         for (auto const& where : machines) {
             while (true) {
                 auto to = connection::open(where.ready(), 500);
                 message answer;
-                if (to.is_open() && to.send("GET /v1/readiness HTTP/1.1\r\nHost: ready\r\n\r\n")
+                if (to.isOpen() && to.send("GET /v1/readiness HTTP/1.1\r\nHost: ready\r\n\r\n")
                     && to.read(answer, 500) == connection::outcome::Whole && answer.status() == 200)
                     break;
                 if (clock_type::now() > until)
                     return false;
-                pause_for(50);
+                pauseFor(50);
             }
         }
         return true;
     }
-    void end_all()
+    void endAll()
     {
         std::lock_guard const guard(m_lock);
         for (auto const& [ip, child] : m_processes)
@@ -742,7 +749,7 @@
     }
 
 private:
-    static void prctl_end_with_parent(pid_t parent);
+    static void prctlEndWithParent(pid_t parent);
 
     std::string m_root;
     std::string m_folder;
@@ -760,15 +767,16 @@
     return "127." + std::to_string(64 + (number >> 8) % 128) + "." + std::to_string(number % 256) + ".";
 }
 
-inline json route(std::string const& name, std::string const& prefix, std::string const& kind, std::string const& service,
-    int timeout_ms, int latency_ms = 400, int attempts = 2)
+inline json route(std::string const& name, std::string const& prefix, std::string const& kind,
+    std::string const& service, int timeoutMs, int latencyMs = 400, int attempts = 2)
 {
     return { { "name", name }, { "host", "mesh.example" }, { "path_prefix", prefix }, { "kind", kind },
-        { "timeout_ms", timeout_ms }, { "target_latency_ms", latency_ms }, { "priority", 1 }, { "service", service },
+        { "timeout_ms", timeoutMs }, { "target_latency_ms", latencyMs }, { "priority", 1 }, { "service", service },
         { "max_attempts", attempts } };
 }
 
-inline json configuration(std::string const& version, std::vector<json> const& routes, std::vector<std::string> const& services)
+inline json configuration(
+    std::string const& version, std::vector<json> const& routes, std::vector<std::string> const& services)
 {
     json listed = json::array();
     for (auto const& name : services)
@@ -781,10 +789,10 @@
 }
 
 inline std::string request(std::string const& method, std::string const& path, std::string const& attempt,
-    int deadline_ms, std::string const& body = "")
+    int deadlineMs, std::string const& body = "")
 {
     std::string text = method + " " + path + " HTTP/1.1\r\nHost: mesh.example\r\nAttempt-Id: " + attempt
-        + "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
+        + "\r\nDeadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
     if (!body.empty() || method == "POST")
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     return text + "\r\n" + body;
@@ -794,7 +802,7 @@
 
 #include <sys/prctl.h>
 
-inline void stand_ins::platform::prctl_end_with_parent(pid_t parent)
+inline void stand_ins::platform::prctlEndWithParent(pid_t parent)
 {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != parent)
