--- a/review/standins-3/mesh.py
+++ b/review/standins-3/mesh.py
@@ -100,6 +100,8 @@
         self.changes = []
         # While the store is down, it does nothing and resets the connections of its callers.
         self.is_down = False
+        # When each caller, by its IP number, last began to watch the configuration.
+        self.watches = {}
 
     async def start(self, ip):
         self.address = f"{ip}:{STORE_PORT}"
@@ -115,12 +117,15 @@
         return self.objects[key]
 
     async def talk(self, reader, writer):
+        ip = writer.get_extra_info("peername")[0]
         try:
             while True:
                 line, _, body = await read_message(reader)
                 method, target, _ = line.split(" ", 2)
                 if self.is_down:
                     break
+                if "watch=" in target:
+                    self.watches[ip] = time.monotonic()
                 status, content = await self.answer(method, target, body)
                 if self.is_down:
                     break
@@ -173,7 +178,7 @@
                     if revision > after and (name == key or name.startswith(key + "/"))]
         until = time.monotonic() + wait
         while not events() and time.monotonic() < until:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.004)
         return 200, {"events": events(), "current_rev": self.revision}
 
 
@@ -294,7 +299,8 @@
                 "data_dir": None, "discovery": "static", "entry": "static",
                 "beat_interval_ms": int(HEARTBEAT_S * 1000),
                 "contracts": ["base", "drain", "config", "cost", "retry", "recover", "platform"],
-                "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0}, "bounds": BOUNDS,
+                "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0},
+                "bounds": self.mesh.bounds,
                 "app_addr": self.address(WORKER_PORT), "service": self.service,
                 "platform": {"address": self.mesh.store.address, "form": "objects", "writes_per_s": 400,
                              "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000}}
@@ -327,20 +333,23 @@
 class Mesh:
     """The store and the machines. `services` names the service of each machine's worker."""
 
-    def __init__(self, record, services):
+    def __init__(self, record, services, bounds=BOUNDS):
         self.record = record
+        self.bounds = bounds
         self.network = self.free_network()
         self.folder = tempfile.mkdtemp(prefix="merlinpier-review-")
         self.store = Store(record)
         self.machines = [Machine(self, number, service) for number, service in enumerate(services)]
         self.version = 0
+        # Further routes of the configuration, by name.
+        self.routes = {}
 
     @staticmethod
     def free_network():
         """Returns the second number of a loopback network in which none of the ports is taken."""
         for _ in range(50):
             network = random.randint(20, 250)
-            hosts = [f"{zone}.{number}" for zone in (1, 2, 3) for number in range(10, 14)]
+            hosts = [f"{zone}.{number}" for zone in (1, 2, 3) for number in range(10, 40)]
             places = [("0.1", STORE_PORT)]
             places += [(host, port) for host in hosts for port in (*PORTS.values(), WORKER_PORT, METRICS_PORT)]
             if not any(is_taken(f"127.{network}.{host}", port) for host, port in places):
@@ -357,6 +366,7 @@
             routes.append({"name": f"book-{service}", "host": f"{service}.example", "path_prefix": "/book/",
                            "kind": "non_idempotent", "timeout_ms": timeout_ms, "target_latency_ms": 400, "priority": 1,
                            "service": service, "max_attempts": 2})
+        routes += self.routes.values()
         self.version += 3
         return {"version": f"{self.version:08x}", "routes": routes,
                 "services": [{"name": name, "health_path": "/health", "max_connections": 120, "protocol": "h1",
@@ -412,9 +422,11 @@
                           to=self.machine.name, deadline_ms=deadline_ms)
         return attempt
 
-    async def call(self, method, service, target, deadline_ms, patience_s, body=b""):
-        """Returns the status of the answer, "closed" or "none"."""
+    async def call(self, method, service, target, deadline_ms, patience_s, body=b"", sent=None):
+        """Returns the status of the answer, "closed" or "none"; tells `sent` the attempt's id."""
         attempt = self.write(method, service, target, deadline_ms, body)
+        if sent:
+            sent(attempt)
         try:
             line, headers, content = await asyncio.wait_for(read_message(self.reader), patience_s)
             status = int(line.split(" ")[1])
@@ -437,13 +449,20 @@
     record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("case_begins", trouble=int(trouble))
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
-    try:
-        held = asyncio.run(asyncio.wait_for(case(record, trouble), 115))
-    except (CannotRun, asyncio.TimeoutError, OSError, KeyboardInterrupt) as failure:
-        record.write("case_could_not_run", reason=repr(failure))
-        print(f"could not run: {failure!r}")
-        sys.exit(2)
-    record.write("case_ends", rule="held" if held else "broken")
-    print("the rule held" if held else "the rule was broken")
-    sys.exit(0 if held else 1)
+
+    async def run():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, end, 2, "interrupted")
+        try:
+            held = await asyncio.wait_for(case(record, trouble), 115)
+        except (CannotRun, asyncio.TimeoutError, OSError) as failure:
+            record.write("case_could_not_run", reason=repr(failure))
+            end(2, f"could not run: {failure!r}")
+        record.write("case_ends", rule="held" if held else "broken")
+        end(0 if held else 1, "the rule held" if held else "the rule was broken")
+
+    def end(code, text):
+        # The case has ended its processes, or the kernel does so now. What still waits here needs no end.
+        print(text, flush=True)
+        os._exit(code)
+
+    asyncio.run(run())
