--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A worker that has deregistered, acknowledged while the store was down, gets requests again after a loss of all daemons."""
+"""One machine freezes as the configuration changes; others of its zone go on by the former version for too long."""
 
 import asyncio
 import signal
@@ -7,89 +7,78 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-3"))
-from mesh import HEARTBEAT_S, Connection, Mesh, Worker, play  # noqa: E402
+from mesh import BOUNDS, ZONES, CannotRun, Connection, Mesh, Worker, play  # noqa: E402
 
-DRAIN_S = 2.0
-STABLE_WINDOW_S = 3.0
-STORE_DOWN_S = 3.2
-DOWN_S = 1.0
-# When the two check-ins that were on their way before the worker left arrive, after the worker sent them.
-LATE_S = 3.7
-# How long the worker serves on after it has left.
-SERVES_ON_S = 10.0
+# As for the deployments of 59 to 80 machines in three zones.
+MACHINES = 54
+CONFIG_APPLY_S = 2.5
+FREEZE_S = 4.0
+ROUNDS = 6
+# Time for the machine that was frozen to be in touch again.
+PAUSE_S = 5.0
+# A daemon watches the configuration, 1.5 s at a time, if it has begun to do so within this time.
+WATCHES_S = 2.5
+
+
+def move_route(mesh, service):
+    """Writes a version in which the route leads to this service, as the operator does."""
+    mesh.routes["moved"] = {"name": "moved", "host": "moved.example", "path_prefix": "/book/", "kind": "non_idempotent",
+                            "timeout_ms": 1500, "target_latency_ms": 400, "priority": 1, "service": service,
+                            "max_attempts": 2}
+    mesh.store.write("config/main", mesh.configuration(1500))
 
 
 async def case(record, trouble):
-    mesh = Mesh(record, ["desk", "other", "other", "desk", "other", "other", "other", "other", "other", "other"])
+    bounds = [bound.replace("config_apply_ms=2000", "config_apply_ms=2500") for bound in BOUNDS]
+    mesh = Mesh(record, ["old" if number % 6 < 3 else "new" for number in range(MACHINES)], bounds)
+    broken = []
     try:
         await mesh.start()
-        workers = [Worker(record, machine, f"i-{machine.name}", work=0.3) for machine in mesh.machines]
+        workers = [Worker(record, machine, f"i-{machine.name}", work=0.02) for machine in mesh.machines]
         for worker in workers:
             await worker.start()
         await mesh.wait_until_ready()
-        await asyncio.sleep(3)
-        leaving = workers[0]
-        began = time.monotonic()
-
-        async def wait_until(seconds):
-            await asyncio.sleep(max(0.0, began + seconds - time.monotonic()))
-
-        if trouble:
-            mesh.store.is_down = True
-            record.write("store_down")
-        # The worker's last two check-ins are delayed on their way; it sends no other.
-        late = [leaving.heartbeat(), leaving.heartbeat()]
-        for task in leaving.tasks:
-            task.cancel()
-        await wait_until(0.5)
-        status = await leaving.report("Deregister")
-        acknowledged = time.monotonic()
-        record.write("worker_deregisters", worker=leaving.id, answer=status)
-        if status != 200:
-            record.write("no_acknowledgement")
-            return True
-        await wait_until(1.5)
-        if trouble:
-            record.write("kill_all")
-            for machine in mesh.machines:
-                machine.signal(signal.SIGKILL)
-            for machine in mesh.machines:
-                machine.process.wait()
-        await wait_until(1.5 + DOWN_S)
-        if trouble:
-            record.write("start_all")
-            for machine in mesh.machines:
-                machine.start()
-        await wait_until(STORE_DOWN_S)
-        mesh.store.is_down = False
-        record.write("store_up")
-        for number, content in enumerate(late):
-            await wait_until(LATE_S + number * HEARTBEAT_S)
-            answer = await leaving.report("Heartbeat", content)
-            record.write("late_check_in", worker=leaving.id, sequence=content["status"]["sequence"], answer=answer)
-        await mesh.wait_until_ready()
-        # All machines and the store have been undisturbed for the stable window.
-        await wait_until(STORE_DOWN_S + STABLE_WINDOW_S + 0.5)
-        sent_from = time.monotonic()
-        results = []
+        move_route(mesh, "old")
+        await asyncio.sleep(6)
+        for number in range(ROUNDS):
+            zone = ZONES[number % len(ZONES)]
+            members = [machine for machine in mesh.machines if machine.zone == zone]
+            former, latter = ("old", "new") if number % 2 == 0 else ("new", "old")
+            # Of the machines that the store has seen watching lately, the one that began last.
+            watching = {machine.ip: mesh.store.watches.get(machine.ip, 0.0) for machine in members}
+            frozen = max(members, key=lambda machine: watching[machine.ip])
+            if time.monotonic() - watching[frozen.ip] > WATCHES_S:
+                raise CannotRun("no daemon of the zone watches the configuration")
+            if trouble:
+                record.write("freeze", machine=frozen.name)
+                frozen.signal(signal.SIGSTOP)
+            await asyncio.sleep(0.05)
+            move_route(mesh, latter)
+            acknowledged = time.monotonic()
+            record.write("version_acknowledged", version=mesh.version, route_leads_to=latter)
+            sent = {}
 
-        async def send(number):
-            connection = Connection(record, mesh.machines[number % len(mesh.machines)], f"client-{number}")
-            await connection.open()
-            results.append(await connection.call("POST", "desk", f"/book/{number}", 1500, 2.5))
-            connection.close()
+            async def ask(machine):
+                connection = Connection(record, machine, f"{number}-{machine.name}")
+                await connection.open()
+                while time.monotonic() < acknowledged + FREEZE_S - 0.1:
+                    at = time.monotonic() - acknowledged
+                    await connection.call("POST", "moved", f"/book/{number}", 1500, 2, sent=lambda a, at=at: sent.update({a: at}))
+                    await asyncio.sleep(0.1)
+                connection.close()
 
-        tasks = []
-        number = 0
-        while time.monotonic() < acknowledged + SERVES_ON_S:
-            tasks.append(asyncio.ensure_future(send(number)))
-            number += 1
-            await asyncio.sleep(0.05)
-        # The worker ends, as it had announced.
-        leaving.end()
-        await asyncio.gather(*tasks)
-        broken = [run for run in leaving.runs if run[0] > max(sent_from, acknowledged + DRAIN_S)]
-        record.write("result", sent=len(results), at_the_worker_that_left=len(broken), answers=sorted(map(str, results)))
+            await asyncio.sleep(max(0.0, acknowledged + CONFIG_APPLY_S + 0.05 - time.monotonic()))
+            await asyncio.gather(*(ask(machine) for machine in members if machine is not frozen))
+            ran = {attempt: worker.machine.service for worker in workers for _, attempt, _, _ in worker.runs}
+            late = [at for attempt, at in sent.items() if ran.get(attempt) == former]
+            broken += late
+            record.write("round", zone=zone, requests=len(sent), run_by_the_former_service=len(late),
+                         latest=f"{max(late, default=0):.2f}")
+            if trouble:
+                record.write("wake", machine=frozen.name)
+                frozen.signal(signal.SIGCONT)
+            await asyncio.sleep(PAUSE_S)
+        record.write("result", run_by_the_former_service=len(broken))
         return not broken
     finally:
         mesh.end()
