Daemon: Log who reported a version and which relays are in use

Change: version_reported names the peer whose heartbeat or answer has a newer version, and whether its push counts as missed; relays_chosen names the relays in use and the one that this VM subscribes to. Both are written on a change only.

--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -106,7 +106,7 @@
 void member::sendHeartbeats(actions& actions, time_point now, generator& source)
 {
     auto const zoneRelays = relays();
-    auto const subscribedTo = subscribedRelay(zoneRelays);
+    auto const subscribedTo = subscribedRelay();
     auto const takesDemand = demandRelay();
     for (auto const& address : zoneRelays) {
         bool const isDemandRelay = address == takesDemand;
@@ -128,8 +128,9 @@
     }
 }
 
-std::optional<std::string> member::subscribedRelay(std::vector<std::string> const& zoneRelays) const
+std::optional<std::string> member::subscribedRelay() const
 {
+    auto const zoneRelays = relays();
     // Each relay of a zone subscribes to all the others, so that every one receives all updates.
     if (zoneRelays.empty() || membersSubscribeToAllRelays() || relayIndex())
         return {};
@@ -263,7 +264,7 @@
     if (answer.retryAfterMs > 0)
         m_peers.avoidUntil(from, now + milliseconds(answer.retryAfterMs));
     if (answer.highestKnownVersion > m_appliedInThisRun) {
-        auto const subscribedTo = subscribedRelay(relays());
+        auto const subscribedTo = subscribedRelay();
         bool const isPushMissed = answer.isRelay && (!subscribedTo || *subscribedTo == from);
         actions.emplace_back(newer_version_reported { from, answer.highestKnownVersion, isPushMissed });
     }
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -96,6 +96,8 @@
     std::optional<relay_position> primaryRelayPosition() const;
     // Addresses of the relays of the own zone that this member sends heartbeats to; itself is left out.
     std::vector<std::string> relays() const;
+    // Address of the only relay that this member subscribes to; nullopt if it subscribes to all of relays().
+    std::optional<std::string> subscribedRelay() const;
     // Addresses of the daemons that subscribe to this one as their relay.
     std::vector<std::string> subscribers() const;
     // The subscribers that this daemon sends new configuration versions to: a member that subscribes to several relays
@@ -146,8 +148,6 @@
     void join(actions&, time_point now, generator&);
     void sendIntroduction(actions&, std::string const& address);
     void sendHeartbeats(actions&, time_point now, generator&);
-    // Which of the given relays this member subscribes to; nullopt if it subscribes to all of them.
-    std::optional<std::string> subscribedRelay(std::vector<std::string> const& zoneRelays) const;
     // Whether the own zone is small enough for its members to subscribe to all of its relays.
     bool membersSubscribeToAllRelays() const;
     void sendHeartbeat(actions&, std::string const& address, bool subscribes, std::vector<tenant_demand> = {}) const;
--- a/Services/Daemon/membership_part.cpp
+++ b/Services/Daemon/membership_part.cpp
@@ -27,6 +27,7 @@
     std::vector<membership_action> actions;
     actions = m_member.tick(currentTime(), m_generator);
     carryOut(std::move(actions));
+    logRelays();
 }
 
 void membership_part::setTargets(std::vector<target_record> targets)
@@ -96,6 +97,7 @@
         } else if (std::holds_alternative<membership_changed>(action)) {
             changed = true;
         } else if (auto const* heard = std::get_if<newer_version_reported>(&action)) {
+            logReportedVersion(*heard);
             if (heard->isPushMissed)
                 m_listener.didMissPush(heard->address, heard->version);
             else
@@ -106,4 +108,27 @@
         m_listener.didChangeMembership();
 }
 
+void membership_part::logRelays()
+{
+    std::string relays;
+    for (auto const& address : m_member.relays())
+        relays += (relays.empty() ? "" : ",") + address;
+    auto const subscribedTo = m_member.subscribedRelay().value_or("all");
+    auto const chosen = relays + " " + subscribedTo;
+    if (chosen == m_loggedRelays)
+        return;
+    m_loggedRelays = chosen;
+    logInfo("relays_chosen", { { "relays", relays }, { "subscribed_to", subscribedTo } });
+}
+
+void membership_part::logReportedVersion(newer_version_reported const& report)
+{
+    if (report == m_loggedReport)
+        return;
+    m_loggedReport = report;
+    logInfo("version_reported",
+        { { "by", report.address }, { "version", report.version },
+            { "push_missed", report.isPushMissed ? "yes" : "no" } });
+}
+
 } // namespace merlinpier
--- a/Services/Daemon/membership_part.h
+++ b/Services/Daemon/membership_part.h
@@ -57,11 +57,16 @@
 
 private:
     void carryOut(std::vector<membership_action>);
+    void logRelays();
+    void logReportedVersion(newer_version_reported const&);
 
     peer_hub& m_hub;
     membership_listener& m_listener;
     member m_member;
     generator m_generator;
+    // What was logged last; each is logged when it changes.
+    std::string m_loggedRelays;
+    newer_version_reported m_loggedReport;
 };
 
 } // namespace merlinpier
