LibDistribution: Ask a peer that has the version before waiting out one that may not

Cause: a version is requested from one peer at a time. A peer that stops responding is waited for during the whole request timeout, also when another peer has advertised the version meanwhile, and once all known peers have been tried, a peer that advertises the version has to wait for the next round.

Change: a request to a peer that has not advertised the version is given up after a quarter of the timeout if another has, and a new advertisement ends the pause between two rounds.

--- a/Libraries/LibDistribution/peer_requests.cpp
+++ b/Libraries/LibDistribution/peer_requests.cpp
@@ -8,21 +8,24 @@
 
 constexpr std::size_t maximumRememberedPeers = 256;
 constexpr std::size_t maximumExcludedVersions = 64;
+// A peer that has not advertised the version may not have it or not respond. When another peer has advertised it, the
+// request is given up after this fraction of the timeout.
+constexpr int unconfirmedTimeoutDivisor = 4;
 
 } // namespace
 
 void peer_requests::recordVersion(std::string const& address, version_number version)
 {
-    auto const known = m_advertised.find(address);
-    if (known != m_advertised.end()) {
-        // A peer that has a newer version than before may be asked again in this round.
-        if (version > known->second)
-            m_tried.erase(address);
-        known->second = std::max(known->second, version);
+    if (version <= advertisedVersion(address))
         return;
-    }
-    if (m_advertised.size() < maximumRememberedPeers)
-        m_advertised.emplace(address, version);
+    bool const isRemembered = m_advertised.contains(address) || m_advertised.size() < maximumRememberedPeers;
+    if (!isRemembered)
+        return;
+    m_advertised[address] = version;
+    // The peer has a newer version than before: it may be asked again in this round, or when the round has ended.
+    m_tried.erase(address);
+    if (isRequestable(version))
+        m_nextRoundAt = {};
 }
 
 version_number peer_requests::advertisedVersion(std::string const& address) const
@@ -93,7 +96,7 @@
 {
     if (now < m_nextRoundAt)
         return {};
-    if (m_pending && now - m_pending->sentAt < m_timeout)
+    if (m_pending && now - m_pending->sentAt < pendingTimeout())
         return {};
     m_pending.reset();
     auto const address = choosePeer(relays, preferred);
@@ -107,6 +110,15 @@
     return address;
 }
 
+duration peer_requests::pendingTimeout() const
+{
+    if (isRequestable(advertisedVersion(m_pending->address)))
+        return m_timeout;
+    bool const hasBetterPeer = std::any_of(m_advertised.begin(), m_advertised.end(),
+        [&](auto const& peer) { return isRequestable(peer.second) && !m_tried.contains(peer.first); });
+    return hasBetterPeer ? m_timeout / unconfirmedTimeoutDivisor : m_timeout;
+}
+
 std::optional<std::string> peer_requests::choosePeer(std::vector<std::string> const& relays, order preferred) const
 {
     auto const isUntried = [&](std::string const& relay) {
--- a/Libraries/LibDistribution/peer_requests.h
+++ b/Libraries/LibDistribution/peer_requests.h
@@ -50,6 +50,8 @@
         std::string address;
         time_point sentAt;
     };
+    // How long to wait for the answer to the pending request.
+    duration pendingTimeout() const;
     std::optional<std::string> choosePeer(std::vector<std::string> const& relays, order preferred) const;
 
     duration m_timeout;
