Daemon: Send the next version to members that have just subscribed

A member that subscribes to a relay is answered with the version that the relay applies. A version that the relay applied within the next 100 ms was not sent to it, because the relay takes over its subscribers at its ticks only; the member learned of it by its next heartbeat, 1.1 s later.

Cause: the list of receivers is older than the answer that promises the push.

Change: a heartbeat that begins or ends a subscription yields subscribers_changed, and the daemon takes over its peers at once.

--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -220,6 +220,7 @@
 {
     m_failureDetector.didReceiveFrom(beat.vm, now);
     heartbeat_answer answer { m_self.vm, m_appliedInThisRun, m_table.digest(), false, 0 };
+    bool const wasSubscribed = m_peers.isSubscribed(from);
     if (beat.subscribes) {
         auto const outcome = m_peers.subscribe(from, now + m_settings.suspectTimeout, m_settings.maximumSubscribers);
         if (outcome == peer_directory::subscription::Full)
@@ -232,6 +233,8 @@
     answer.isRelay = isRelay();
     answer.tenantDemand = takeDemand(beat, now);
     actions.emplace_back(send_message { from, std::move(answer) });
+    if (m_peers.isSubscribed(from) != wasSubscribed)
+        actions.emplace_back(subscribers_changed {});
     if (m_table.merge(appliedVersionOnly(beat.vm, beat.appliedVersion)) == merge_effect::AppliedVersion)
         m_updateQueue.addAppliedVersion(beat.vm);
     if (beat.highestKnownVersion > m_appliedInThisRun)
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -68,7 +68,12 @@
     bool isPushMissed { false };
     bool operator==(newer_version_reported const&) const = default;
 };
-using membership_action = std::variant<send_message, membership_changed, newer_version_reported>;
+// A daemon has subscribed to this one, or has ended its subscription. It was answered with the version that is applied
+// now, so it has to receive the next one.
+struct subscribers_changed {
+    bool operator==(subscribers_changed const&) const = default;
+};
+using membership_action = std::variant<send_message, membership_changed, newer_version_reported, subscribers_changed>;
 
 // Runs the membership protocol for one VM: joins through seeds, sends heartbeats to the relays of its zone, relays
 // updates to its subscribers, detects failed members, repairs lost updates by comparing digests, and refutes outdated
--- a/Libraries/LibMembership/peer_directory.cpp
+++ b/Libraries/LibMembership/peer_directory.cpp
@@ -93,6 +93,12 @@
         known->second.subscribedUntil.reset();
 }
 
+bool peer_directory::isSubscribed(std::string const& address) const
+{
+    auto const known = m_peers.find(address);
+    return known != m_peers.end() && known->second.subscribedUntil.has_value();
+}
+
 std::vector<std::string> peer_directory::subscribers() const
 {
     std::vector<std::string> addresses;
--- a/Libraries/LibMembership/peer_directory.h
+++ b/Libraries/LibMembership/peer_directory.h
@@ -33,6 +33,7 @@
     // Adds or renews a subscription that lapses at the given time. Full if there are already maximum subscribers.
     subscription subscribe(std::string const& address, time_point until, std::size_t maximum);
     void unsubscribe(std::string const& address);
+    bool isSubscribed(std::string const& address) const;
     std::vector<std::string> subscribers() const;
     bool hasSubscribers() const;
 
--- a/Services/Daemon/daemon.cpp
+++ b/Services/Daemon/daemon.cpp
@@ -191,6 +191,8 @@
     markRoutesOldSoon();
 }
 
+void daemon::didChangeSubscribers() { m_configuration.setPeers(m_membership.peers()); }
+
 void daemon::didLearnDeparture(std::string const& target, std::uint64_t startedAt)
 {
     if (m_departedTargets.didDepart(target, startedAt, currentTime()))
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -80,6 +80,7 @@
     void didBecomeReadyForCalls(std::string const& address, std::uint64_t instance, std::uint64_t generation) override;
     void didBecomeUnreachableForCalls(std::string const& address) override;
     void didChangeMembership() override;
+    void didChangeSubscribers() override;
     void didHearVersion(std::string const& address, std::uint64_t version) override;
     void didMissPush(std::string const& address, std::uint64_t version) override;
 
--- a/Services/Daemon/membership_part.cpp
+++ b/Services/Daemon/membership_part.cpp
@@ -96,6 +96,8 @@
             m_hub.sendControl(sent->address, sent->content);
         } else if (std::holds_alternative<membership_changed>(action)) {
             changed = true;
+        } else if (std::holds_alternative<subscribers_changed>(action)) {
+            m_listener.didChangeSubscribers();
         } else if (auto const* heard = std::get_if<newer_version_reported>(&action)) {
             logReportedVersion(*heard);
             if (heard->isPushMissed)
--- a/Services/Daemon/membership_part.h
+++ b/Services/Daemon/membership_part.h
@@ -16,6 +16,7 @@
 public:
     virtual ~membership_listener() = default;
     virtual void didChangeMembership() = 0;
+    virtual void didChangeSubscribers() = 0;
     virtual void didHearVersion(std::string const& address, std::uint64_t version) = 0;
     // The relay that pushes versions to this daemon has this one, and its push has not arrived.
     virtual void didMissPush(std::string const& address, std::uint64_t version) = 0;
--- a/Tests/LibMembership/member_test.cpp
+++ b/Tests/LibMembership/member_test.cpp
@@ -372,6 +372,27 @@
     EXPECT_EQ(missed, 1u);
 }
 
+// Failure: a version that a relay applied between a member's subscription and its own next tick was not sent to it.
+TEST(Member, ReportsChangesOfItsSubscribersAtOnce)
+{
+    fleet fleet(11);
+    auto& relay = fleet.start("a", 0, { "a-0" });
+    fleet.run(milliseconds(50));
+    generator random(1);
+    auto const countChanges = [&](bool subscribes) {
+        heartbeat beat;
+        beat.vm = "a-1";
+        beat.subscribes = subscribes;
+        auto const actions = relay.didReceive("a-1", beat, fleet.now, random);
+        return std::count_if(actions.begin(), actions.end(),
+            [](auto const& action) { return std::holds_alternative<subscribers_changed>(action); });
+    };
+    EXPECT_EQ(countChanges(true), 1);
+    EXPECT_EQ(countChanges(true), 0);
+    EXPECT_EQ(countChanges(false), 1);
+    EXPECT_EQ(countChanges(false), 0);
+}
+
 TEST(Member, RefutesRecordsOfItselfWithAHigherIncarnation)
 {
     membership_settings settings;
