LibMembership: Replace a relay that is late with an answer

Cause: a member of a zone above 16 gets versions and records from one relay. It replaced one that has stopped after 1.1 s to its next heartbeat, 1.0 s of silence and 1.0 s for a new connection. Its second way to a version took as long: the other relay was asked every 2.5 s, and what it named was waited for another 0.6 s, for the push of the relay that had stopped. A relay whose process ended left its members without updates until the heartbeat to the other relay was due, up to 2.75 s.

Change: a relay that leaves a heartbeat unanswered for 250 ms, or has failed and not been heard from, is replaced by the next until it answers, and all the others are asked at once. If none answers, a relay of another zone is asked. Missing records are compared at once meanwhile.

Why it works: the sum of the waits is 1.1 s to the heartbeat, 0.25 s, two ticks of 0.1 s and two round trips, 0.3 s more if all relays of the zone have stopped; the users' bound is 2.0 s.

--- a/Libraries/LibDistribution/distributor.cpp
+++ b/Libraries/LibDistribution/distributor.cpp
@@ -15,6 +15,11 @@
 
 } // namespace
 
+distribution_peers distribution_peers::of(member const& member)
+{
+    return { member.isPrimaryRelay(), member.answeringRelays(), member.versionReceivers(), member.remoteRelays() };
+}
+
 distributor::distributor(distribution_settings settings)
     : m_settings(settings)
     , m_platformCalls(settings)
--- a/Libraries/LibDistribution/distributor.h
+++ b/Libraries/LibDistribution/distributor.h
@@ -35,13 +35,16 @@
 // The peers that a daemon currently exchanges versions with. The owner updates them from the membership.
 struct distribution_peers {
     bool isRelay { false };
-    // Addresses of the relays of the own zone that this daemon reports to.
+    // Addresses of the relays of the own zone that this daemon reports to and that answer.
     std::vector<std::string> relays;
     // Addresses that this daemon propagates new versions to.
     std::vector<std::string> subscribers;
     // Addresses of relays in other zones.
     std::vector<std::string> remoteRelays;
 
+    // The peers in the member's present view.
+    static distribution_peers of(member const&);
+
     bool operator==(distribution_peers const&) const = default;
 };
 
--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -12,6 +12,8 @@
 constexpr int unansweredHeartbeatPeriods = 2;
 // Interval of the checks that iterate over all peers and records.
 constexpr milliseconds checkPeriod { 100 };
+// When ticks are further apart than this, this process itself stood still, and an answer may have arrived unread.
+constexpr milliseconds stallAllowance { 200 };
 // Interval of the check for Gone records whose retention time is over.
 constexpr milliseconds expiryPeriod { 2000 };
 // Members of a larger zone subscribe to one relay only, which halves what relays send; see docs/design/membership.md.
@@ -55,6 +57,9 @@
     m_now = now;
     if (!m_startedAt)
         m_startedAt = now;
+    if (m_tickedAt && now - *m_tickedAt > stallAllowance)
+        m_listeningSince = now;
+    m_tickedAt = now;
     actions actions;
     if (now >= m_nextCheck) {
         if (now - m_nextCheck > m_settings.suspectTimeout / 2)
@@ -72,7 +77,9 @@
     join(actions, now, source);
     if (m_demand)
         m_demand->setRelaying(addsUpDemand(), now);
+    followSubscribedRelay();
     sendHeartbeats(actions, now, source);
+    askOtherZone(actions, now, source);
     sendZoneDemand(actions, now);
     flush(actions, now);
     return actions;
@@ -128,17 +135,58 @@
     }
 }
 
+// Rendezvous hashing (Thaler and Ravishankar, 1998): members with the same candidates spread over them evenly.
+std::string const& member::preferred(std::vector<std::string> const& candidates) const
+{
+    auto const score = [&](std::string const& address) {
+        return hash64(address, hash64(m_self.address));
+    };
+    return *std::max_element(candidates.begin(), candidates.end(),
+        [&](auto const& left, auto const& right) { return score(left) < score(right); });
+}
+
 std::optional<std::string> member::subscribedRelay() const
 {
     auto const zoneRelays = relays();
     // Each relay of a zone subscribes to all the others, so that every one receives all updates.
     if (zoneRelays.empty() || membersSubscribeToAllRelays() || relayIndex())
         return {};
-    auto const score = [&](std::string const& address) {
-        return hash64(address, hash64(m_self.address));
-    };
-    return *std::max_element(zoneRelays.begin(), zoneRelays.end(),
-        [&](auto const& left, auto const& right) { return score(left) < score(right); });
+    auto const answering = answeringRelays();
+    return preferred(answering.empty() ? zoneRelays : answering);
+}
+
+void member::followSubscribedRelay()
+{
+    auto const subscribedTo = subscribedRelay();
+    if (subscribedTo == m_subscribedTo)
+        return;
+    m_subscribedTo = subscribedTo;
+    // Until its heartbeat arrives, the new relay sends this member no updates. The others are asked as well: the new
+    // one may not respond either.
+    for (auto const& address : answeringRelays())
+        m_peers.hastenHeartbeat(address);
+}
+
+void member::askOtherZone(actions& actions, time_point now, generator& source)
+{
+    if (!m_hasJoined || relays().empty() || !answeringRelays().empty() || isPrimaryRelay())
+        return;
+    std::vector<std::string> candidates;
+    for (auto const& [zone, members] : m_ranking) {
+        if (zone == m_settings.zone)
+            continue;
+        for (auto const& relay : reachableRelays(zone)) {
+            if (!isLate(relay.address))
+                candidates.push_back(relay.address);
+        }
+    }
+    if (candidates.empty())
+        return;
+    auto const& address = preferred(candidates);
+    if (!m_peers.isHeartbeatDue(address, now))
+        return;
+    sendHeartbeat(actions, address, false);
+    m_peers.didSendHeartbeat(address, now, jittered(m_settings.heartbeatPeriod, source));
 }
 
 bool member::membersSubscribeToAllRelays() const
@@ -268,15 +316,21 @@
         m_peers.avoidUntil(from, now + milliseconds(answer.retryAfterMs));
     if (answer.highestKnownVersion > m_appliedInThisRun) {
         auto const subscribedTo = subscribedRelay();
-        bool const isPushMissed = answer.isRelay && (!subscribedTo || *subscribedTo == from);
+        bool const isPushMissed = answer.isRelay && (!subscribedTo || *subscribedTo == from || isLate(*subscribedTo));
         actions.emplace_back(newer_version_reported { from, answer.highestKnownVersion, isPushMissed });
     }
     bool const differs = answer.tableDigest != m_table.digest();
     // A message alone does not prove that the join succeeded: daemons that start together exchange introductions before
     // any of them knows the others. Equal digests do.
     m_hasJoined |= !differs;
-    bool const needsRepair = m_peers.needsRepair(from, differs);
-    if (needsRepair && m_peers.tryBeginDigestExchange(from, now, m_settings.repairPeriod))
+    bool needsRepair = m_peers.needsRepair(from, differs);
+    auto repairPeriod = m_settings.repairPeriod;
+    // What a late relay has not sent on is not in flight.
+    if (differs && answeringRelays().size() < relays().size()) {
+        needsRepair = true;
+        repairPeriod = m_settings.heartbeatPeriod;
+    }
+    if (needsRepair && m_peers.tryBeginDigestExchange(from, now, repairPeriod))
         actions.emplace_back(send_message { from, membership_digest { m_table.bucketDigests() } });
 }
 
@@ -451,6 +505,18 @@
     return addresses;
 }
 
+std::vector<std::string> member::answeringRelays() const
+{
+    auto addresses = relays();
+    std::erase_if(addresses, [&](auto const& address) { return isLate(address); });
+    return addresses;
+}
+
+bool member::isLate(std::string const& address) const
+{
+    return m_peers.isLate(address, m_now, m_settings.answerTimeout, m_listeningSince);
+}
+
 std::vector<std::string> member::subscribers() const { return m_peers.subscribers(); }
 
 std::vector<std::string> member::versionReceivers() const
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -35,6 +35,9 @@
     // At this limit, a relay rejects further subscriptions and answers with the time after which to retry.
     std::size_t maximumSubscribers { 128 };
     milliseconds heartbeatPeriod { 1000 };
+    // A peer that has not answered a heartbeat within this time is late: another one is asked as well, until it
+    // answers.
+    milliseconds answerTimeout { 250 };
     // A member of the own zone that has been silent for this long is suspected; after twice this time it is set Gone.
     milliseconds suspectTimeout { 3000 };
     // When at least this share of a zone's members is silent at the same time, a network partition is assumed, and no
@@ -101,7 +104,10 @@
     std::optional<relay_position> primaryRelayPosition() const;
     // Addresses of the relays of the own zone that this member sends heartbeats to; itself is left out.
     std::vector<std::string> relays() const;
-    // Address of the only relay that this member subscribes to; nullopt if it subscribes to all of relays().
+    // Those of relays() that are not late with an answer.
+    std::vector<std::string> answeringRelays() const;
+    // Address of the only relay that this member subscribes to; nullopt if it subscribes to all of relays(). A relay
+    // that is late is replaced until it answers.
     std::optional<std::string> subscribedRelay() const;
     // Addresses of the daemons that subscribe to this one as their relay.
     std::vector<std::string> subscribers() const;
@@ -153,6 +159,13 @@
     void join(actions&, time_point now, generator&);
     void sendIntroduction(actions&, std::string const& address);
     void sendHeartbeats(actions&, time_point now, generator&);
+    // Which of the addresses this member prefers; there is at least one.
+    std::string const& preferred(std::vector<std::string> const& candidates) const;
+    // Asks all relays for the version at once when the subscription moves to another relay.
+    void followSubscribedRelay();
+    // Asks a relay of another zone when no relay of the own zone answers.
+    void askOtherZone(actions&, time_point now, generator&);
+    bool isLate(std::string const& address) const;
     // Whether the own zone is small enough for its members to subscribe to all of its relays.
     bool membersSubscribeToAllRelays() const;
     void sendHeartbeat(actions&, std::string const& address, bool subscribes, std::vector<tenant_demand> = {}) const;
@@ -198,6 +211,8 @@
     update_queue m_updateQueue;
     demand_exchange* m_demand { nullptr };
     join_schedule m_joinSchedule;
+    // What subscribedRelay() returned last.
+    std::optional<std::string> m_subscribedTo;
     // The members of each zone in the order of rankRelays().
     std::map<std::string, std::vector<ranked_member>> m_ranking;
     // The table's recordChanges() when m_ranking was computed.
@@ -210,6 +225,9 @@
     // Whether the table's digest has ever been equal to a peer's.
     bool m_hasJoined { false };
     std::optional<time_point> m_startedAt;
+    std::optional<time_point> m_tickedAt;
+    // Peers are late by what this process has waited since then.
+    time_point m_listeningSince {};
     // When the first message of another daemon arrived.
     std::optional<time_point> m_firstContact;
     time_point m_now {};
--- a/Libraries/LibMembership/peer_directory.cpp
+++ b/Libraries/LibMembership/peer_directory.cpp
@@ -37,6 +37,23 @@
         peer.unansweredSince = now;
 }
 
+void peer_directory::hastenHeartbeat(std::string const& address)
+{
+    if (auto known = m_peers.find(address); known != m_peers.end())
+        known->second.nextHeartbeat.reset();
+}
+
+bool peer_directory::isLate(
+    std::string const& address, time_point now, duration timeout, time_point listeningSince) const
+{
+    auto const known = m_peers.find(address);
+    if (known == m_peers.end())
+        return false;
+    auto const& peer = known->second;
+    return peer.failures > 0
+        || (peer.unansweredSince && now - std::max(*peer.unansweredSince, listeningSince) >= timeout);
+}
+
 void peer_directory::avoidUnresponsive(time_point now, duration timeout)
 {
     for (auto const& [address, peer] : m_peers) {
--- a/Libraries/LibMembership/peer_directory.h
+++ b/Libraries/LibMembership/peer_directory.h
@@ -20,6 +20,11 @@
 
     bool isHeartbeatDue(std::string const& address, time_point now) const;
     void didSendHeartbeat(std::string const& address, time_point now, duration untilNext);
+    // Makes the next heartbeat to the peer due at once.
+    void hastenHeartbeat(std::string const& address);
+    // Whether the peer has left a heartbeat unanswered for the timeout, or has not been heard from since it failed.
+    // Time before listeningSince does not count: this process may have stood still.
+    bool isLate(std::string const& address, time_point now, duration timeout, time_point listeningSince) const;
     // Avoids each peer that has not answered a heartbeat within the timeout.
     void avoidUnresponsive(time_point now, duration timeout);
     // To be called after this daemon itself was paused: missing answers then do not indicate failed peers.
--- a/Services/Daemon/membership_part.cpp
+++ b/Services/Daemon/membership_part.cpp
@@ -69,10 +69,7 @@
 
 bool membership_part::hasContact() const { return m_member.hasContact(currentTime()); }
 
-distribution_peers membership_part::peers() const
-{
-    return { m_member.isPrimaryRelay(), m_member.relays(), m_member.versionReceivers(), m_member.remoteRelays() };
-}
+distribution_peers membership_part::peers() const { return distribution_peers::of(m_member); }
 
 std::uint64_t membership_part::highestClaim(std::string const& licence) const
 {
--- a/Tests/LibDistribution/distribution_simulation.cpp
+++ b/Tests/LibDistribution/distribution_simulation.cpp
@@ -61,18 +61,38 @@
     constexpr milliseconds step { 10 };
     for (auto const end = now + time; now < end; now += step) {
         while (!m_scheduledEvents.empty() && m_scheduledEvents.begin()->first <= now) {
-            auto const [address, event] = std::move(m_scheduledEvents.begin()->second);
+            auto [address, event] = std::move(m_scheduledEvents.begin()->second);
             m_scheduledEvents.erase(m_scheduledEvents.begin());
-            if (auto found = m_daemons.find(address); found != m_daemons.end())
-                perform(address, event(*found->second.distributor));
+            if (m_paused.contains(address))
+                schedule(address, step, std::move(event));
+            else
+                handle(address, event);
         }
-        if (now >= m_nextHeartbeatAt)
+        if (sendsHeartbeats && now >= m_nextHeartbeatAt)
             sendHeartbeats();
-        for (auto const& [address, daemon] : m_daemons)
-            perform(address, daemon.distributor->tick(now, m_source));
+        if (now < m_nextTick)
+            continue;
+        m_nextTick = now + tickPeriod;
+        for (auto const& [address, daemon] : m_daemons) {
+            if (!m_paused.contains(address))
+                perform(address, daemon.distributor->tick(now, m_source));
+        }
     }
 }
 
+void distribution_simulation::setPeers(std::string const& address, distribution_peers peers)
+{
+    auto& daemon = m_daemons.at(address);
+    daemon.peers = std::move(peers);
+    daemon.distributor->setPeers(daemon.peers);
+}
+
+void distribution_simulation::handle(std::string const& address, event const& event)
+{
+    if (auto found = m_daemons.find(address); found != m_daemons.end())
+        perform(address, event(*found->second.distributor));
+}
+
 void distribution_simulation::sendHeartbeats()
 {
     m_nextHeartbeatAt = now + seconds(1);
--- a/Tests/LibDistribution/distribution_simulation.h
+++ b/Tests/LibDistribution/distribution_simulation.h
@@ -25,6 +25,12 @@
     distributor& start(std::string const& address, distribution_peers, distribution_mode = distribution_mode::Push);
     distributor& at(std::string const& address) { return *m_daemons.at(address).distributor; }
     void stop(std::string const& address) { m_daemons.erase(address); }
+    void setPeers(std::string const& address, distribution_peers);
+    // A paused daemon handles nothing; what arrives meanwhile is handled when it resumes.
+    void pause(std::string const& address) { m_paused.insert(address); }
+    // Hands the event to the daemon and carries out its actions.
+    using event = std::function<std::vector<distribution_action>(distributor&)>;
+    void handle(std::string const& address, event const&);
     // Writes the next version to the platform, or the given one, and returns its number. The answers are not validated,
     // unlike in an operator's commit, so a version can be invalid.
     version_number commit(std::vector<questionnaire> const&, std::optional<version_number> = {});
@@ -44,6 +50,10 @@
 
     time_point now { seconds(1000) };
     distribution_settings settings;
+    // How often distributors' tick() is called; a multiple of the simulation's step of 10 ms.
+    milliseconds tickPeriod { 10 };
+    // Whether daemons advertise their versions once a second.
+    bool sendsHeartbeats { true };
     std::function<bool(std::string const& from, std::string const& to)> isLinkDown = [](auto&, auto&) {
         return false;
     };
@@ -66,7 +76,6 @@
         std::unique_ptr<merlinpier::distributor> distributor;
         distribution_peers peers;
     };
-    using event = std::function<std::vector<distribution_action>(distributor&)>;
 
     void perform(std::string const& address, std::vector<distribution_action> const&);
     void schedule(std::string const& address, duration delay, event);
@@ -87,8 +96,10 @@
     std::uint64_t m_revision { 0 };
     std::uint64_t m_era { 1 };
     std::multimap<time_point, std::pair<std::string, event>> m_scheduledEvents;
+    std::set<std::string> m_paused;
     time_point m_watchesSilentBefore {};
     time_point m_nextHeartbeatAt {};
+    time_point m_nextTick {};
 };
 
 } // namespace merlinpier
--- a/Tests/LibMembership/fleet.cpp
+++ b/Tests/LibMembership/fleet.cpp
@@ -19,6 +19,9 @@
 {
     for (auto const end = now + time; now < end; now += step) {
         deliverDueMessages();
+        if (now < m_nextTick)
+            continue;
+        m_nextTick = now + tickPeriod;
         for (auto const& [address, member] : m_members) {
             if (!m_paused.contains(address))
                 perform(address, member->tick(now, m_source));
@@ -29,6 +32,10 @@
 void fleet::perform(std::string const& address, std::vector<membership_action> const& actions)
 {
     for (auto const& action : actions) {
+        if (auto const* report = std::get_if<newer_version_reported>(&action))
+            didReportVersion(address, *report);
+        if (std::holds_alternative<subscribers_changed>(action))
+            didChangeSubscribers(address);
         auto const* send = std::get_if<send_message>(&action);
         if (!send)
             continue;
--- a/Tests/LibMembership/fleet.h
+++ b/Tests/LibMembership/fleet.h
@@ -28,12 +28,15 @@
     member& at(std::string const& address) { return *m_members.at(address); }
     std::map<std::string, std::unique_ptr<member>> const& members() const { return m_members; }
 
-    // Advances the simulated time, calls tick() of every member that is not paused, and delivers messages that are due.
+    // Advances the simulated time, calls tick() of every member that is not paused when due, and delivers messages that
+    // are due.
     void run(duration);
     void perform(std::string const& address, std::vector<membership_action> const&);
     bool haveConverged() const;
 
     milliseconds step { 10 };
+    // How often members' tick() is called; a multiple of step.
+    milliseconds tickPeriod { 10 };
     time_point now { seconds(1000) };
     membership_settings settings;
     // Prefix of VM names, which addresses do not have. Members are keyed by address.
@@ -42,6 +45,12 @@
     std::function<bool(std::string const& from, std::string const& to)> isCut = [](auto&, auto&) {
         return false;
     };
+    // Called with each report of a newer version and the member that makes it.
+    std::function<void(std::string const& address, newer_version_reported const&)> didReportVersion = [](auto&, auto&) {
+    };
+    // Called with the member whose subscribers have changed.
+    std::function<void(std::string const& address)> didChangeSubscribers = [](auto&) {
+    };
     double lossShare { 0 };
     double repeatShare { 0 };
     milliseconds longestDelay { 2 };
@@ -60,6 +69,7 @@
     void deliverDueMessages();
 
     generator m_source;
+    time_point m_nextTick {};
     std::map<std::string, std::unique_ptr<member>> m_members;
     std::set<std::string> m_paused;
     std::multimap<time_point, delivery> m_inFlight;
