LibMembership: Ask relays of other zones again that were late once

Cause: a relay of another zone that had left one heartbeat unanswered, because this member was cut off itself, stayed late for as long as nothing arrived from it, and nothing does from relays that a member does not report to. All relays of its own zone stopping later left it without anybody to ask.

Change: as in the own zone, a late one is asked if none is in time.

--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -136,8 +136,14 @@
 }
 
 // Rendezvous hashing (Thaler and Ravishankar, 1998): members with the same candidates spread over them evenly.
-std::string const& member::preferred(std::vector<std::string> const& candidates) const
+std::string member::preferredAnswering(std::vector<std::string> candidates) const
 {
+    if (candidates.empty())
+        return {};
+    auto const firstLate = std::stable_partition(
+        candidates.begin(), candidates.end(), [&](auto const& address) { return !isLate(address); });
+    if (firstLate != candidates.begin())
+        candidates.erase(firstLate, candidates.end());
     auto const score = [&](std::string const& address) {
         return hash64(address, hash64(m_self.address));
     };
@@ -147,12 +153,11 @@
 
 std::optional<std::string> member::subscribedRelay() const
 {
-    auto const zoneRelays = relays();
+    auto zoneRelays = relays();
     // Each relay of a zone subscribes to all the others, so that every one receives all updates.
     if (zoneRelays.empty() || membersSubscribeToAllRelays() || relayIndex())
         return {};
-    auto const answering = answeringRelays();
-    return preferred(answering.empty() ? zoneRelays : answering);
+    return preferredAnswering(std::move(zoneRelays));
 }
 
 void member::followSubscribedRelay()
@@ -175,14 +180,12 @@
     for (auto const& [zone, members] : m_ranking) {
         if (zone == m_settings.zone)
             continue;
-        for (auto const& relay : reachableRelays(zone)) {
-            if (!isLate(relay.address))
-                candidates.push_back(relay.address);
-        }
+        for (auto const& relay : reachableRelays(zone))
+            candidates.push_back(relay.address);
     }
-    if (candidates.empty())
+    auto const address = preferredAnswering(std::move(candidates));
+    if (address.empty())
         return;
-    auto const& address = preferred(candidates);
     if (!m_peers.isHeartbeatDue(address, now))
         return;
     sendHeartbeat(actions, address, false);
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -159,8 +159,8 @@
     void join(actions&, time_point now, generator&);
     void sendIntroduction(actions&, std::string const& address);
     void sendHeartbeats(actions&, time_point now, generator&);
-    // Which of the addresses this member prefers; there is at least one.
-    std::string const& preferred(std::vector<std::string> const& candidates) const;
+    // Which of the addresses this member prefers: one that is not late, if there is any. Empty if there is no address.
+    std::string preferredAnswering(std::vector<std::string> candidates) const;
     // Asks all relays for the version at once when the subscription moves to another relay.
     void followSubscribedRelay();
     // Asks a relay of another zone when no relay of the own zone answers.
--- a/Tests/LibMembership/member_test.cpp
+++ b/Tests/LibMembership/member_test.cpp
@@ -372,6 +372,29 @@
     EXPECT_EQ(missed, 1u);
 }
 
+// Failure: relays of other zones that left a heartbeat unanswered once were not asked again.
+TEST(Member, AsksAnotherZoneAgainAfterItWasCutOffItself)
+{
+    fleet fleet(12);
+    startZones(fleet, 20);
+    fleet.run(convergenceTime);
+    bool isCutOff = true;
+    std::size_t asked = 0;
+    fleet.isCut = [&](std::string const& from, std::string const& to) {
+        asked += from == "a-1" && !isInZone(to, 'a');
+        return isCutOff && (from == "a-1" || to == "a-1");
+    };
+    fleet.run(seconds(10));
+    isCutOff = false;
+    fleet.run(seconds(40));
+    ASSERT_TRUE(fleet.at("a-1").hasContact(fleet.now));
+    for (auto const& relay : fleet.at("a-1").relays())
+        fleet.pause(relay);
+    asked = 0;
+    fleet.run(seconds(2));
+    EXPECT_GE(asked, 1u);
+}
+
 // Failure: a version that a relay applied between a member's subscription and its own next tick was not sent to it.
 TEST(Member, ReportsChangesOfItsSubscribersAtOnce)
 {
