--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -226,7 +226,7 @@
     bool m_hasJoined { false };
     std::optional<time_point> m_startedAt;
     std::optional<time_point> m_tickedAt;
-    // Peers are late by what this process has waited since then.
+    // Time before this does not count as time that a peer has left a heartbeat unanswered.
     time_point m_listeningSince {};
     // When the first message of another daemon arrived.
     std::optional<time_point> m_firstContact;
--- a/Tests/LibDistribution/frozen_relay_test.cpp
+++ b/Tests/LibDistribution/frozen_relay_test.cpp
@@ -3,8 +3,8 @@
 #include <gtest/gtest.h>
 #include <platform/sidecar_settings.h>
 
-// A relay stops responding, and what its members get from it alone stays away. They have to get it in another way
-// before the users' bound.
+// A relay stops responding, and its members no longer receive what it alone sends them. They have to get it elsewhere
+// within the users' bound.
 
 namespace merlinpier {
 
@@ -15,7 +15,7 @@
 // Left of it for the transfer on real links.
 constexpr milliseconds transferTime { 200 };
 constexpr milliseconds settleTime { 8000 };
-// Each play strikes another relay, at another phase of the heartbeats.
+// In each play another relay fails, at another phase of the heartbeats.
 constexpr int plays = 8;
 constexpr milliseconds phaseStep { 370 };
 constexpr milliseconds freezeBeforeCommit { 50 };
@@ -56,8 +56,8 @@
         fleet->run(settleTime + play * phaseStep);
         return fleet;
     }
-    // The relay of zone a that is struck in this play.
-    static std::string struckRelay(relayed_fleet& fleet, int play)
+    // The relay of zone a that fails in this play.
+    static std::string failingRelay(relayed_fleet& fleet, int play)
     {
         auto const relays = fleet.relaysOf("a");
         return relays.at(static_cast<std::size_t>(play) % relays.size());
@@ -65,12 +65,12 @@
 };
 
 // Failure: members run requests by the former version 2.5 s after its successor was accepted (review/12). Their relay
-// had stopped responding, and the other one was asked late and not believed to be the only way.
+// had stopped responding, and they asked nobody else in time.
 TEST_P(FrozenRelayTest, DelaysNoVersionBeyondTheBound)
 {
     for (int play = 0; play < plays; ++play) {
         auto const fleet = startFleet(play);
-        auto const frozen = struckRelay(*fleet, play);
+        auto const frozen = failingRelay(*fleet, play);
         fleet->freeze(frozen);
         fleet->run(freezeBeforeCommit);
         auto const version = fleet->commit();
@@ -85,7 +85,7 @@
 {
     for (int play = 0; play < plays; ++play) {
         auto const fleet = startFleet(play);
-        auto const killed = struckRelay(*fleet, play);
+        auto const killed = failingRelay(*fleet, play);
         fleet->kill(killed);
         fleet->run(freezeBeforeCommit);
         auto const version = fleet->commit();
@@ -118,7 +118,7 @@
 {
     for (int play = 0; play < plays; ++play) {
         auto const fleet = startFleet(play);
-        auto const frozen = struckRelay(*fleet, play);
+        auto const frozen = failingRelay(*fleet, play);
         auto const publisher = fleet->relaysOf("b").back();
         fleet->freeze(frozen);
         fleet->run(freezeBeforeCommit);
